Serve a request through router, agent and target as separate processes

Cause: there was nothing. This is the thin whole path: operators' resources through kqg-api into the store, learnt by watch, callers' model and plain calls through kqg-router and kqg-agent to stand-ins, once-only calls through the ledger.

Conclusion: the path stands; nothing is proved under failure yet.

--- /dev/null
+++ b/source/agent/exchange.cpp
@@ -0,0 +1,255 @@
+#include "agent/exchange.hpp"
+
+#include "common/text.hpp"
+
+#include "agent/agent.hpp"
+#include "common/hash.hpp"
+#include "common/log.hpp"
+
+namespace kumquatgap::agent
+{
+
+using common::failure;
+using common::result_code;
+
+namespace
+{
+
+constexpr std::string_view event_stream = "text/event-stream";
+/// A plain answer goes to the router in parts of this size.
+constexpr std::size_t body_part_bytes = std::size_t{64} << 10;
+/// A router that leaves this much unread is cut off.
+constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20;
+constexpr int first_server_error = 500;
+
+failure to_failure(io::call_end how)
+{
+    if (how == io::call_end::not_connected)
+        return {result_code::target_unreachable, ""};
+    if (how == io::call_end::silent)
+        return {result_code::target_timeout, "the target fell silent"};
+    return {result_code::stream_cut, "the connection to the target was lost"};
+}
+
+} // namespace
+
+exchange::exchange(agent& owner, std::uint64_t id, protocol::agent_call call,
+                   io::responder_ptr router)
+    : m_agent{owner}, m_id{id}, m_request{std::move(call)}, m_router{std::move(router)},
+      m_resources{owner.resources()}, m_service{m_resources->find_service(m_request.service)},
+      m_hop{common::start_span(m_request.traceparent, common::now())},
+      m_deadline{common::now() + m_request.time_left}
+{
+}
+
+void exchange::start()
+{
+    m_router->on_caller_gone([this] { router_gone(); });
+    m_heartbeat = m_agent.loop().every(m_agent.settings().heartbeat,
+                                       [this]
+                                       {
+                                           if (!std::exchange(m_sent_since_heartbeat, false))
+                                               send(protocol::answer_heartbeat{});
+                                       });
+    if (m_service == nullptr)
+        return refuse({result_code::wrong_target, "the service's resource is gone"});
+    const auto queued = m_agent.queue().offer({.id = m_id,
+                                               .team = m_request.team,
+                                               .level = m_request.level,
+                                               .predicted = m_request.predicted,
+                                               .start_by = m_deadline},
+                                              common::now());
+    if (!queued)
+        return refuse(queued.error());
+    m_agent.start_ready_calls();
+}
+
+void exchange::run()
+{
+    if (m_request.idempotency_key.empty())
+        hand_over();
+    else
+        claim();
+}
+
+void exchange::expired()
+{
+    refuse({result_code::deadline_unreachable, "no slot was free in time"});
+}
+
+void exchange::claim()
+{
+    const auto fingerprint = common::sha256_hex(
+        common::concat(m_request.method, "\n", m_request.path, "\n", m_request.query, "\n",
+                       m_request.service, "\n", m_request.body));
+    ledger::attempt attempt{common::concat(m_request.attempt, "/", m_agent.run_id()),
+                            fingerprint,
+                            {.claim_timeout = m_agent.settings().claim_timeout}};
+    m_ledger = std::make_shared<ledger_session>(
+        m_agent, ledger::store_key(m_request.member, m_request.idempotency_key), std::move(attempt),
+        ledger_events{[this] { hand_over(); }, [this](const failure& why) { refuse(why); },
+                      [this](const ledger::kept_answer& kept)
+                      { deliver_whole(kept.status, kept.content_type, kept.body); }});
+    m_ledger->begin();
+}
+
+void exchange::hand_over()
+{
+    m_running = true;
+    io::http_request request{m_request.method, m_request.path, m_request.query, {}, m_request.body};
+    if (!m_request.content_type.empty())
+        request.headers.add("Content-Type", m_request.content_type);
+    if (!m_request.idempotency_key.empty())
+        request.headers.add("Idempotency-Key", m_request.idempotency_key);
+    request.headers.add("X-Request-Id", m_request.call_id);
+    request.headers.add("traceparent", common::traceparent(m_hop));
+    const auto& settings = m_agent.settings();
+    m_call = m_agent.client().send(settings.target_address, request,
+                                   {[this](const io::http_answer& head) { head_received(head); },
+                                    [this](std::string_view bytes) { data_received(bytes); },
+                                    [this](io::call_end how, const io::http_answer& answer)
+                                    { call_ended(how, answer); }},
+                                   {.connect_timeout = settings.target_connect,
+                                    .silence_timeout = settings.target_silence,
+                                    .reuse_connection = m_service->is_model()});
+}
+
+std::string exchange::expected_id() const
+{
+    return m_service->echoes_request_id ? protocol::completion_id(m_request.call_id) : "";
+}
+
+void exchange::head_received(const io::http_answer& answer)
+{
+    const auto type = answer.headers.find("content-type");
+    if (!m_service->is_model() || !type.starts_with(event_stream))
+        return;
+    m_stream.emplace(expected_id());
+    send(protocol::answer_head{answer.status, std::string{event_stream}});
+}
+
+void exchange::data_received(std::string_view bytes)
+{
+    if (!m_stream)
+    {
+        m_body += bytes;
+        return;
+    }
+    const auto self = shared_from_this();
+    const bool short_enough = m_splitter.feed(bytes,
+                                              [this](std::string_view text)
+                                              {
+                                                  const auto event = io::parse_event(text);
+                                                  if (!m_finished && !event.data.empty())
+                                                      token_received(event.data);
+                                              });
+    if (!short_enough && !m_finished)
+        target_failed({result_code::bad_target_answer, "an event is too long"}, true);
+}
+
+void exchange::token_received(std::string_view data)
+{
+    const auto step = m_stream->take(data);
+    if (!step)
+        return target_failed(step.error(), true);
+    if (step.value() == protocol::engine_stream::step::chunk)
+    {
+        send(protocol::answer_token{++m_parts, data});
+        m_agent.counters().count("kqg_chunks_total");
+        if (m_router->unsent_bytes() > max_unsent_bytes)
+            target_failed({result_code::caller_gone, "the router reads too slowly"}, true);
+        return;
+    }
+    send(protocol::answer_end{m_request.attempt, m_parts, m_agent.load()});
+    finish(result_code::ok);
+}
+
+void exchange::call_ended(io::call_end how, const io::http_answer& answer)
+{
+    if (m_finished)
+        return;
+    if (how != io::call_end::complete)
+        return target_failed(to_failure(how), how != io::call_end::not_connected);
+    if (m_stream)
+        return target_failed({result_code::stream_cut, "the engine closed before the end"}, true);
+    whole_answer(answer);
+}
+
+void exchange::whole_answer(const io::http_answer& answer)
+{
+    const bool is_completion = m_service->is_model() && answer.status < 400;
+    if (is_completion)
+    {
+        if (const auto wrong = protocol::check_completion(m_body, expected_id()))
+            return target_failed(*wrong, true);
+    }
+    if (m_service->is_model() && answer.status >= first_server_error)
+        return target_failed({result_code::bad_target_answer, "the engine reported an error"},
+                             true);
+    const std::string type{answer.headers.find("content-type")};
+    if (m_ledger)
+        m_ledger->answered({answer.status, type, m_body, true});
+    deliver_whole(answer.status, type, m_body);
+}
+
+void exchange::deliver_whole(int status, const std::string& content_type, const std::string& body)
+{
+    send(protocol::answer_head{status, content_type});
+    for (std::size_t at = 0; at < body.size(); at += body_part_bytes)
+        send(protocol::answer_body{++m_parts, body.substr(at, body_part_bytes)});
+    send(protocol::answer_end{m_request.attempt, m_parts, m_agent.load()});
+    finish(result_code::ok);
+}
+
+void exchange::target_failed(const failure& why, bool was_reached)
+{
+    if (m_ledger && was_reached)
+        m_ledger->answer_lost();
+    else if (m_ledger)
+        m_ledger->unreached();
+    refuse(why);
+}
+
+void exchange::router_gone()
+{
+    if (m_finished)
+        return;
+    const bool may_run = m_running || (m_ledger && !m_ledger->withdraw());
+    // A call that must not repeat goes on, so that a repeat finds its answer in the ledger.
+    if (m_ledger && may_run)
+        return;
+    m_agent.queue().withdraw(m_id);
+    finish(result_code::caller_gone);
+}
+
+void exchange::send(const protocol::answer_event& event)
+{
+    m_sent_since_heartbeat = true;
+    m_router->write(protocol::to_text(event));
+}
+
+void exchange::refuse(const failure& why)
+{
+    send(protocol::answer_failure{why, m_agent.load()});
+    finish(why.code);
+}
+
+void exchange::finish(result_code code)
+{
+    if (std::exchange(m_finished, true))
+        return;
+    m_router->on_caller_gone(nullptr);
+    m_router->end();
+    m_heartbeat.reset();
+    m_call.reset();
+    m_ledger.reset();
+    const auto now = common::now();
+    m_agent.counters().count(
+        common::concat("kqg_attempts_total{code=\"", common::number(code), "\"}"));
+    m_agent.counters().measure("kqg_attempt_ms",
+                               static_cast<double>((now - m_hop.started).count()));
+    common::end_span(m_hop, "agent", now, common::number(code));
+    m_agent.remove(m_id);
+}
+
+} // namespace kumquatgap::agent
--- /dev/null
+++ b/source/api/api.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "common/metrics.hpp"
+#include "config/resource_write.hpp"
+#include "io/http_client.hpp"
+#include "io/http_server.hpp"
+#include "platform/etcd_store.hpp"
+#include "shell/program.hpp"
+
+#include <list>
+#include <memory>
+#include <string>
+
+namespace kumquatgap::api
+{
+
+/// The API's settings.
+struct api_settings
+{
+    shell::common_settings common;
+    std::string listen;
+    /// May read and write resources.
+    std::string operator_token;
+    /// May only read resources.
+    std::string reader_token;
+};
+
+/// Declares the API's settings.
+void add_settings(common::settings_schema& schema, api_settings& s);
+
+/// The operators' resources over HTTP. It keeps nothing: the platform's store has it all.
+class api
+{
+public:
+    explicit api(api_settings settings);
+
+    /// Runs until shut down; the result is the program's exit status.
+    int run();
+
+private:
+    /// One operator's watch.
+    struct watch_stream
+    {
+        io::responder_ptr answer;
+        std::unique_ptr<platform::watch> source;
+    };
+
+    void handle(const io::received_request& received, const io::responder_ptr& answer);
+    std::optional<common::failure> refusal(const io::received_request& received) const;
+    void status(const io::responder_ptr& answer);
+    void read(config::kind k, const std::string& name, const io::responder_ptr& answer);
+    void write(config::kind k, const std::string& name, const std::string& body,
+               const io::responder_ptr& answer);
+    void erase(config::kind k, const std::string& name, const std::string& version,
+               const io::responder_ptr& answer);
+    void watch(config::kind k, const std::string& from, const io::responder_ptr& answer);
+    void carry_out(const std::shared_ptr<config::resource_write>& work,
+                   const config::write_step& step, const io::responder_ptr& answer);
+    void begin_shutdown();
+
+    api_settings m_settings;
+    io::event_loop m_loop;
+    io::http_client m_client;
+    platform::etcd_store m_store;
+    common::metrics m_metrics;
+    std::list<watch_stream> m_watches;
+    io::http_server m_server;
+    bool m_shutting_down = false;
+    io::timer_handle m_idle_timer;
+};
+
+} // namespace kumquatgap::api
--- /dev/null
+++ b/source/core/common/hash.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace kumquatgap::common
+{
+
+/// A fast hash for placement, by xxHash.
+std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
+
+/// SHA-256 in hexadecimal, for tokens and call fingerprints.
+std::string sha256_hex(std::string_view text);
+
+} // namespace kumquatgap::common
--- /dev/null
+++ b/source/core/common/log.cpp
@@ -0,0 +1,86 @@
+#include "common/log.hpp"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+
+namespace kumquatgap::common
+{
+
+namespace
+{
+
+struct level_name
+{
+    log_level level;
+    std::string_view name;
+    spdlog::level::level_enum spdlog_level;
+};
+
+constexpr auto s_levels = std::to_array<level_name>({
+    {log_level::debug, "debug", spdlog::level::debug},
+    {log_level::info, "info", spdlog::level::info},
+    {log_level::warn, "warn", spdlog::level::warn},
+    {log_level::error, "error", spdlog::level::err},
+});
+
+/// Appends text, in quotes when it would break the line's key=value form.
+void append_text(std::string& line, std::string_view text)
+{
+    constexpr std::string_view breaks_form = " =\"\\\n\r\t";
+    if (!text.empty() && text.find_first_of(breaks_form) == std::string_view::npos)
+    {
+        line += text;
+        return;
+    }
+    line += '"';
+    for (const char c : text)
+    {
+        if (c == '"' || c == '\\')
+            line += '\\';
+        line += (static_cast<unsigned char>(c) < ' ') ? ' ' : c;
+    }
+    line += '"';
+}
+
+void append_field(std::string& line, const log_field& field)
+{
+    line += ' ';
+    line += field.key;
+    line += '=';
+    if (const auto* n = std::get_if<std::int64_t>(&field.value))
+        line += std::to_string(*n);
+    else
+        append_text(line, std::get<std::string_view>(field.value));
+}
+
+} // namespace
+
+bool start_log(std::string_view program, std::string_view level)
+{
+    const auto it = std::ranges::find(s_levels, level, &level_name::name);
+    if (it == s_levels.end())
+        return false;
+    auto logger = spdlog::stderr_logger_st(std::string{program});
+    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l program=%n %v",
+                        spdlog::pattern_time_type::utc);
+    logger->set_level(it->spdlog_level);
+    spdlog::set_default_logger(std::move(logger));
+    return true;
+}
+
+void log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    const auto spdlog_level = s_levels[static_cast<std::size_t>(level)].spdlog_level;
+    if (!spdlog::should_log(spdlog_level))
+        return;
+    std::string line = "event=";
+    line += event;
+    for (const auto& it : fields)
+        append_field(line, it);
+    spdlog::log(spdlog_level, line);
+}
+
+} // namespace kumquatgap::common
--- /dev/null
+++ b/source/core/common/log.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace kumquatgap::common
+{
+
+/// How much a log line matters.
+enum class log_level : std::uint8_t
+{
+    debug,
+    info,
+    warn,
+    error
+};
+
+/// One key=value pair of a log line.
+struct log_field
+{
+    std::string_view key;
+    std::variant<std::string_view, std::int64_t> value;
+
+    log_field(std::string_view k, std::string_view v) : key{k}, value{v} {}
+    log_field(std::string_view k, const char* v) : key{k}, value{std::string_view{v}} {}
+    log_field(std::string_view k, const std::string& v) : key{k}, value{std::string_view{v}} {}
+    template <std::integral T>
+    log_field(std::string_view k, T v) : key{k}, value{static_cast<std::int64_t>(v)}
+    {
+    }
+};
+
+/// Sets the program's name, which every line carries, and the lowest level written.
+/// Returns false when the level's name is unknown.
+bool start_log(std::string_view program, std::string_view level);
+
+/// Writes one event as one line of key=value pairs to standard error.
+void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+
+} // namespace kumquatgap::common
--- /dev/null
+++ b/source/core/common/settings.cpp
@@ -0,0 +1,158 @@
+#include "common/settings.hpp"
+
+#include "common/text.hpp"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <set>
+
+namespace kumquatgap::common
+{
+
+namespace
+{
+
+/// Reads one value into its target; the returned text is empty when it was right.
+struct value_reader
+{
+    std::string_view value;
+
+    std::string operator()(const text_setting& s) const
+    {
+        if (value.empty() && s.required)
+            return "must not be empty";
+        *s.target = value;
+        return {};
+    }
+
+    std::string operator()(const number_setting& s) const
+    {
+        std::int64_t n = 0;
+        if (!common::parse_number(value, n))
+            return common::concat("'", value, "' is not a whole number");
+        if (n < s.lowest || n > s.highest)
+            return common::concat(n, " is not between ", s.lowest, " and ", s.highest);
+        *s.target = n;
+        return {};
+    }
+
+    std::string operator()(const duration_setting& s) const
+    {
+        std::int64_t n = 0;
+        auto text = (*this)(number_setting{&n, s.lowest.count(), s.highest.count()});
+        if (text.empty())
+            *s.target = milliseconds{n};
+        return text;
+    }
+
+    std::string operator()(const flag_setting& s) const
+    {
+        if (value != "true" && value != "false")
+            return common::concat("'", value, "' is neither true nor false");
+        *s.target = value == "true";
+        return {};
+    }
+
+    std::string operator()(const address_setting& s) const
+    {
+        if (value.empty() && !s.required)
+            return {};
+        if (parse_address(value).port == 0)
+            return common::concat("'", value, "' is not ip:port");
+        *s.target = value;
+        return {};
+    }
+};
+
+/// True when the key must stand in the file because its target has no default.
+struct is_missing
+{
+    bool operator()(const text_setting& s) const { return s.required && s.target->empty(); }
+    bool operator()(const address_setting& s) const { return s.required && s.target->empty(); }
+    bool operator()(const auto&) const { return false; }
+};
+
+/// The text being read and what was found in it.
+struct read_state
+{
+    const std::map<std::pair<std::string, std::string>, setting>& known;
+    std::string_view rest;
+    int line = 0;
+    std::set<std::pair<std::string, std::string>> seen = {};
+    std::vector<settings_error> errors = {};
+};
+
+/// Hands inih one line and counts it.
+char* next_line(char* buf, int size, void* arg)
+{
+    auto& state = *static_cast<read_state*>(arg);
+    if (state.rest.empty())
+        return nullptr;
+    const auto end = std::min(state.rest.find('\n'), state.rest.size() - 1) + 1;
+    const auto n = std::min(end, static_cast<std::size_t>(size) - 1);
+    std::memcpy(buf, state.rest.data(), n);
+    buf[n] = '\0';
+    if (n < end)
+        state.errors.push_back({state.line + 1, "the line is too long"});
+    state.rest.remove_prefix(end);
+    ++state.line;
+    return buf;
+}
+
+/// Takes one key with its value from inih.
+int take_value(void* arg, const char* section, const char* key, const char* value)
+{
+    auto& state = *static_cast<read_state*>(arg);
+    const auto id = std::pair<std::string, std::string>{section, key};
+    const auto it = state.known.find(id);
+    if (it == state.known.end())
+    {
+        state.errors.push_back({state.line, common::concat("unknown key [", section, "] ", key)});
+        return 1;
+    }
+    if (!state.seen.insert(id).second)
+        state.errors.push_back(
+            {state.line, common::concat("[", section, "] ", key, " stands twice")});
+    const auto text = std::visit(value_reader{value}, it->second);
+    if (!text.empty())
+        state.errors.push_back({state.line, common::concat("[", section, "] ", key, ": ", text)});
+    return 1;
+}
+
+} // namespace
+
+void settings_schema::add(std::string section, std::string key, setting s)
+{
+    m_settings.insert_or_assign({std::move(section), std::move(key)}, s);
+}
+
+std::vector<settings_error> settings_schema::read(std::string_view text) const
+{
+    read_state state{m_settings, text};
+    const int first_bad_line = ini_parse_stream(next_line, &state, take_value, &state);
+    if (first_bad_line > 0)
+        state.errors.push_back({first_bad_line, "is neither a section, a key nor a comment"});
+    for (const auto& [id, s] : m_settings)
+    {
+        if (!state.seen.contains(id) && std::visit(is_missing{}, s))
+            state.errors.push_back(
+                {0, common::concat("[", id.first, "] ", id.second, " is missing")});
+    }
+    std::ranges::stable_sort(state.errors, {}, &settings_error::line);
+    return state.errors;
+}
+
+socket_address parse_address(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return {};
+    std::int64_t port = 0;
+    if (!common::parse_number(text.substr(colon + 1), port) || port < 1 || port > max_port)
+        return {};
+    return {std::string{text.substr(0, colon)}, static_cast<std::uint16_t>(port)};
+}
+
+} // namespace kumquatgap::common
--- /dev/null
+++ b/source/core/common/text.cpp
@@ -0,0 +1,35 @@
+#include "common/text.hpp"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+
+namespace kumquatgap::common
+{
+
+namespace
+{
+
+/// Abseil's packages are built with a string_view type of their own.
+absl::string_view to_absl(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+std::string base64_encode(std::string_view bytes)
+{
+    return absl::Base64Escape(to_absl(bytes));
+}
+
+bool base64_decode(std::string_view text, std::string& out)
+{
+    return absl::Base64Unescape(to_absl(text), &out);
+}
+
+bool equals_ignore_case(std::string_view a, std::string_view b)
+{
+    return absl::EqualsIgnoreCase(to_absl(a), to_absl(b));
+}
+
+} // namespace kumquatgap::common
--- /dev/null
+++ b/source/core/io/http_message.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace kumquatgap::io
+{
+
+/// Header fields in their order.
+class header_list
+{
+public:
+    header_list() = default;
+    header_list(std::initializer_list<std::pair<std::string, std::string>> fields)
+        : m_fields{fields}
+    {
+    }
+
+    void add(std::string name, std::string value)
+    {
+        m_fields.emplace_back(std::move(name), std::move(value));
+    }
+    /// The first field of that name in any case; empty when there is none.
+    std::string_view find(std::string_view name) const;
+
+    auto begin() const { return m_fields.begin(); }
+    auto end() const { return m_fields.end(); }
+
+private:
+    std::vector<std::pair<std::string, std::string>> m_fields;
+};
+
+/// A request, received or to be sent.
+struct http_request
+{
+    std::string method;
+    std::string path;
+    std::string query = {};
+    header_list headers = {};
+    std::string body = {};
+};
+
+/// A whole answer.
+struct http_answer
+{
+    int status = 0;
+    header_list headers = {};
+    std::string body = {};
+};
+
+/// The first value of a query parameter; empty when it is missing.
+std::string query_parameter(std::string_view query, std::string_view name);
+
+} // namespace kumquatgap::io
--- /dev/null
+++ b/source/core/platform/etcd_store.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "io/http_client.hpp"
+#include "platform/store.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <map>
+
+namespace kumquatgap::platform
+{
+
+/// How the store's adapter calls the service.
+struct etcd_options
+{
+    /// `ip:port` of the service.
+    std::string address;
+    /// The longest wait for an answer.
+    common::milliseconds timeout{2000};
+};
+
+/// The platform's store through etcd v3's published JSON gateway.
+class etcd_store : public store
+{
+public:
+    etcd_store(io::event_loop& loop, io::http_client& client, etcd_options options);
+    ~etcd_store() override;
+
+    void range(std::string prefix, callback<range_answer> done) override;
+    void get(std::string key, callback<std::optional<key_value>> done) override;
+    void write(std::vector<transaction> batch, callback<std::vector<write_answer>> done) override;
+    void grant_lease(common::milliseconds time_to_live, callback<lease_id> done) override;
+    void renew_lease(lease_id lease, callback<common::milliseconds> done) override;
+    std::unique_ptr<watch> start_watch(std::string prefix, revision from,
+                                       watch_events events) override;
+
+    /// Calls made to the service since the start, watches included.
+    std::uint64_t calls() const { return m_next_call; }
+
+private:
+    class etcd_watch;
+    using json_callback = std::function<void(common::result<nlohmann::json>)>;
+    void call(std::string path, const nlohmann::json& body, json_callback done);
+
+    io::event_loop& m_loop;
+    io::http_client& m_client;
+    etcd_options m_options;
+    std::map<std::uint64_t, io::call_handle> m_calls;
+    std::uint64_t m_next_call = 0;
+};
+
+} // namespace kumquatgap::platform
--- /dev/null
+++ b/source/ctl/command.cpp
@@ -0,0 +1,303 @@
+#include "ctl/command.hpp"
+
+#include "common/text.hpp"
+
+#include "common/settings.hpp"
+#include "io/http_client.hpp"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace kumquatgap::ctl
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+constexpr int first_http_error = 400;
+constexpr int first_server_error = 500;
+constexpr common::milliseconds call_timeout{15'000};
+
+/// A command line tool's one connection to the API.
+class api_connection
+{
+public:
+    explicit api_connection(const command_options& options) : m_options{options} {}
+
+    /// Makes one call and waits for its answer; none when the API can't be reached.
+    std::optional<io::http_answer> call(const std::string& method, const std::string& path,
+                                        const std::string& query = {}, const std::string& body = {})
+    {
+        std::optional<io::http_answer> out;
+        const auto handle = m_client.send(m_options.api_address, request(method, path, query, body),
+                                          {{},
+                                           {},
+                                           [&](io::call_end how, const io::http_answer& answer)
+                                           {
+                                               if (how == io::call_end::complete)
+                                                   out = answer;
+                                               m_loop.stop();
+                                           }},
+                                          {.silence_timeout = call_timeout});
+        m_loop.run();
+        return out;
+    }
+
+    /// Writes a stream to `out` as it comes, until it ends.
+    void follow(const std::string& path, const std::string& query, std::ostream& out)
+    {
+        const auto handle =
+            m_client.send(m_options.api_address, request("GET", path, query, ""),
+                          {{},
+                           [&](std::string_view data) { out << data << std::flush; },
+                           [&](io::call_end, const io::http_answer&) { m_loop.stop(); }});
+        m_loop.run();
+    }
+
+private:
+    io::http_request request(const std::string& method, const std::string& path,
+                             const std::string& query, const std::string& body) const
+    {
+        return {
+            method,
+            path,
+            query,
+            {{"Authorization", "Bearer " + m_options.token}, {"Content-Type", "application/json"}},
+            body};
+    }
+
+    const command_options& m_options;
+    io::event_loop m_loop;
+    io::http_client m_client{m_loop};
+};
+
+/// What every command works with.
+struct command_context
+{
+    const command_options& options;
+    api_connection& api;
+    std::ostream& out;
+    std::ostream& err;
+
+    const std::string& word(std::size_t n) const { return options.words.at(n); }
+};
+
+/// Reports an answer that is not a success; the result is the exit status.
+int report_failure(const command_context& c, const std::optional<io::http_answer>& answer)
+{
+    if (!answer)
+    {
+        c.err << "kqgctl: no answer from the API at " << c.options.api_address << "\n";
+        return exit_unavailable;
+    }
+    const auto body = json::parse(answer->body, nullptr, false);
+    if (body.is_object() && body.contains("error"))
+        c.err << "kqgctl: code=" << body["error"].value("code", 0) << " "
+              << body["error"].value("message", "") << "\n";
+    else
+        c.err << "kqgctl: status " << answer->status << "\n";
+    return answer->status >= first_server_error ? exit_unavailable : exit_refused;
+}
+
+bool is_success(const std::optional<io::http_answer>& answer)
+{
+    return answer && answer->status < first_http_error;
+}
+
+void print_table(const json& items, std::ostream& out)
+{
+    out << fmt::format("{:<16} {:<28} {:<10} {}\n", "KIND", "NAME", "VERSION", "SPEC");
+    for (const auto& it : items)
+        out << fmt::format("{:<16} {:<28} {:<10} {}\n", it.value("kind", ""), it.value("name", ""),
+                           it.value("resourceVersion", ""), it["spec"].dump());
+}
+
+std::string path_of(const std::string& kind, const std::string& name)
+{
+    return name.empty() ? common::concat("/v1/", kind) : common::concat("/v1/", kind, "/", name);
+}
+
+int get(const command_context& c)
+{
+    const auto name = c.options.words.size() > 2 ? c.word(2) : "";
+    const auto answer = c.api.call("GET", path_of(c.word(1), name));
+    if (!is_success(answer))
+        return report_failure(c, answer);
+    if (c.options.output == "json")
+    {
+        c.out << answer->body;
+        return exit_ok;
+    }
+    const auto body = json::parse(answer->body, nullptr, false);
+    print_table(name.empty() ? body["items"] : json::array({body}), c.out);
+    return exit_ok;
+}
+
+/// Gives a resource the version that it has now, so that apply means "make it so".
+int fill_version(const command_context& c, json& resource)
+{
+    const auto path = path_of(resource.value("kind", ""), resource.value("name", ""));
+    const auto answer = c.api.call("GET", path);
+    constexpr int http_not_found = 404;
+    if (answer && answer->status == http_not_found)
+        resource["resourceVersion"] = "0";
+    else if (is_success(answer))
+        resource["resourceVersion"] = json::parse(answer->body)["resourceVersion"];
+    else
+        return report_failure(c, answer);
+    return exit_ok;
+}
+
+int apply_one(const command_context& c, json resource)
+{
+    if (!resource.is_object() || !resource.value("kind", json()).is_string() ||
+        !resource.value("name", json()).is_string())
+    {
+        c.err << "kqgctl: a resource needs kind and name\n";
+        return exit_bad_file;
+    }
+    if (!resource.contains("resourceVersion"))
+    {
+        if (const int status = fill_version(c, resource); status != exit_ok)
+            return status;
+    }
+    const auto id = common::concat(resource.value("kind", ""), "/", resource.value("name", ""));
+    const auto answer =
+        c.api.call("PUT", path_of(resource.value("kind", ""), resource.value("name", "")), "",
+                   resource.dump());
+    if (!is_success(answer))
+    {
+        c.err << id << ": ";
+        return report_failure(c, answer);
+    }
+    c.out << id << " accepted at " << json::parse(answer->body).value("resourceVersion", "")
+          << "\n";
+    return exit_ok;
+}
+
+std::optional<std::string> read_file(const std::string& path)
+{
+    std::stringstream text;
+    if (path == "-")
+    {
+        text << std::cin.rdbuf();
+        return text.str();
+    }
+    const std::ifstream file{path};
+    if (!file)
+        return std::nullopt;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Applies one resource or a list of them, in order; stops at the first that fails.
+int apply(const command_context& c)
+{
+    const auto text = read_file(c.options.file);
+    const auto body = text ? json::parse(*text, nullptr, false) : json();
+    if (!text || body.is_discarded())
+    {
+        c.err << "kqgctl: " << c.options.file << " can't be read as JSON\n";
+        return exit_bad_file;
+    }
+    const auto list = body.is_array() ? body : json::array({body});
+    for (const auto& it : list)
+    {
+        if (const int status = apply_one(c, it); status != exit_ok)
+            return status;
+    }
+    return exit_ok;
+}
+
+int erase(const command_context& c)
+{
+    json resource = {{"kind", c.word(1)}, {"name", c.word(2)}};
+    if (!c.options.version.empty())
+        resource["resourceVersion"] = c.options.version;
+    else if (const int status = fill_version(c, resource); status != exit_ok)
+        return status;
+    const auto answer =
+        c.api.call("DELETE", path_of(c.word(1), c.word(2)),
+                   common::concat("resourceVersion=", resource.value("resourceVersion", "")));
+    if (!is_success(answer))
+        return report_failure(c, answer);
+    c.out << c.word(1) << "/" << c.word(2) << " deleted\n";
+    return exit_ok;
+}
+
+int watch(const command_context& c)
+{
+    const auto answer = c.api.call("GET", path_of(c.word(1), ""));
+    if (!is_success(answer))
+        return report_failure(c, answer);
+    const auto body = json::parse(answer->body);
+    for (const auto& it : body["items"])
+        c.out << json{{"type", "ADDED"}, {"object", it}}.dump() << "\n";
+    c.api.follow(path_of(c.word(1), ""),
+                 common::concat("watch=true&resourceVersion=", body.value("resourceVersion", "0")),
+                 c.out);
+    return exit_unavailable;
+}
+
+int status(const command_context& c)
+{
+    const auto answer = c.api.call("GET", "/v1/status");
+    if (!is_success(answer))
+        return report_failure(c, answer);
+    c.out << answer->body;
+    return exit_ok;
+}
+
+/// A command's name, how many words it takes with its own, and what it does.
+struct command
+{
+    std::string_view name;
+    std::size_t least_words;
+    std::size_t most_words;
+    int (*run)(const command_context&);
+};
+
+constexpr auto s_commands = std::to_array<command>({
+    {"get", 2, 3, get},
+    {"apply", 1, 1, apply},
+    {"delete", 3, 3, erase},
+    {"watch", 2, 2, watch},
+    {"status", 1, 1, status},
+});
+
+} // namespace
+
+int run_command(const command_options& options, std::ostream& out, std::ostream& err)
+{
+    const auto n = options.words.size();
+    const auto it = std::ranges::find_if(
+        s_commands, [&](const command& c)
+        { return n > 0 && c.name == options.words[0] && n >= c.least_words && n <= c.most_words; });
+    if (it == s_commands.end())
+    {
+        err << "kqgctl: get, apply, delete, watch or status; see --help\n";
+        return exit_usage;
+    }
+    if (common::parse_address(options.api_address).port == 0)
+    {
+        err << "kqgctl: --api=ip:port is missing or wrong\n";
+        return exit_usage;
+    }
+    if (options.output != "table" && options.output != "json")
+    {
+        err << "kqgctl: --o is table or json\n";
+        return exit_usage;
+    }
+    api_connection api{options};
+    return it->run({options, api, out, err});
+}
+
+} // namespace kumquatgap::ctl
--- /dev/null
+++ b/source/ctl/command.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace kumquatgap::ctl
+{
+
+/// The exit statuses of kqgctl.
+enum exit_status : int
+{
+    /// Done as asked.
+    exit_ok = 0,
+    /// The API refused: conflict, invalid resource, not permitted, not found.
+    exit_refused = 1,
+    /// The command line is wrong.
+    exit_usage = 64,
+    /// The file can't be read or is not JSON.
+    exit_bad_file = 66,
+    /// The API can't be reached, or the outcome of a write is not known.
+    exit_unavailable = 69
+};
+
+/// What the command line asks for.
+struct command_options
+{
+    std::vector<std::string> words;
+    std::string api_address;
+    std::string token;
+    std::string file;
+    std::string output = "table";
+    std::string version;
+};
+
+/// Runs one command; the result is the program's exit status.
+int run_command(const command_options& options, std::ostream& out, std::ostream& err);
+
+} // namespace kumquatgap::ctl
--- /dev/null
+++ b/source/unit_tests/common/settings_test.cpp
@@ -0,0 +1,62 @@
+#include "common/settings.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace kumquatgap::common;
+
+namespace
+{
+
+struct sample
+{
+    std::string name;
+    std::string address;
+    milliseconds delay{50};
+    std::int64_t count = 3;
+    settings_schema schema;
+
+    sample()
+    {
+        schema.add("process", "name", text_setting{&name});
+        schema.add("process", "address", address_setting{&address});
+        schema.add("process", "delay_ms",
+                   duration_setting{&delay, milliseconds{1}, milliseconds{1000}});
+        schema.add("process", "count", number_setting{&count, 1, 10});
+    }
+};
+
+} // namespace
+
+Test(settings, reads_values_and_keeps_defaults)
+{
+    sample s;
+    const auto errors = s.schema.read("[process]\nname = a\naddress = 127.0.0.1:80\ndelay_ms=7\n");
+    cr_assert(errors.empty());
+    cr_assert(s.name == "a");
+    cr_assert(s.delay == milliseconds{7});
+    cr_assert_eq(s.count, 3);
+}
+
+Test(settings, reports_every_mistake_at_once_with_its_line)
+{
+    sample s;
+    const auto errors = s.schema.read("[process]\n"
+                                      "naem = a\n"
+                                      "delay_ms = soon\n"
+                                      "count = 11\n"
+                                      "count = 2\n"
+                                      "no value here\n");
+    std::vector<int> lines;
+    for (const auto& it : errors)
+        lines.push_back(it.line);
+    // Two missing keys concern the file as a whole.
+    const std::vector<int> expected{0, 0, 2, 3, 4, 5, 6};
+    cr_assert(lines == expected);
+}
+
+Test(settings, refuses_addresses_without_a_port)
+{
+    for (const char* text : {"", "127.0.0.1", "127.0.0.1:", ":80", "a:0", "a:65536", "a:x"})
+        cr_assert_eq(parse_address(text).port, 0, "%s", text);
+    cr_assert_eq(parse_address("10.0.0.1:65535").port, 65535);
+}
