Prove at most once on real processes; say not run only when the ledger does

Cause of the failure found: an agent whose service took no connection refused the call at once, before its record was withdrawn; the next agent met the old record, answered 'in progress', and the caller got 'outcome unknown' for a call that never ran. Ruled out: evhttp reporting a refused connection as cut (it does not). The refusal now waits for the answer to that one write. Also: a repeat of a key whose owner died asked for 3.1 s in all before its final answer; now 1 s in all.

--- a/source/agent/exchange.cpp
+++ b/source/agent/exchange.cpp
@@ -203,10 +203,11 @@
 
 void exchange::target_failed(const failure& why, bool was_reached)
 {
-    if (m_ledger && was_reached)
+    // The ledger refuses the call itself once its record says that the call was not run.
+    if (m_ledger && !was_reached)
+        return m_ledger->unreached();
+    if (m_ledger)
         m_ledger->answer_lost();
-    else if (m_ledger)
-        m_ledger->unreached();
     refuse(why);
 }
 
--- a/source/core/ledger/attempt.cpp
+++ b/source/core/ledger/attempt.cpp
@@ -22,24 +22,32 @@
 {
     if (m_phase != phase::claiming && m_phase != phase::closing)
         return {};
-    const bool claiming = m_phase == phase::claiming;
-    if (claiming && m_withdrawn)
+    if (m_phase == phase::closing)
+        return closed(answer);
+    if (m_withdrawn)
         return withdrawn_claim(answer);
     if (!answer)
-    {
-        if (claiming)
-            return claim_uncertain(answer.error(), at);
-        return {write_later{m_options.retry_pause, current_write()}};
-    }
+        return claim_uncertain(answer.error(), at);
     if (!answer.value().applied)
-        return claiming ? claim_refused(answer.value()) : close_refused(answer.value());
-    if (!claiming)
-        return finish(forget_attempt{});
+        return claim_refused(answer.value());
     m_expected = answer.value().as_of;
     m_phase = phase::running;
     return {run_call{}};
 }
 
+actions attempt::closed(const common::result<platform::write_answer>& answer)
+{
+    actions out;
+    // Whatever became of the write, this attempt never runs; the caller waits no longer.
+    if (auto refusal = std::exchange(m_refusal, std::nullopt))
+        out.push_back(refuse_call{std::move(*refusal)});
+    const auto more = !answer ? actions{write_later{m_options.retry_pause, current_write()}}
+                      : answer.value().applied ? finish(forget_attempt{})
+                                               : close_refused(answer.value());
+    out.insert(out.end(), more.begin(), more.end());
+    return out;
+}
+
 /// The key is not at the expected revision.
 actions attempt::claim_refused(const platform::write_answer& answer)
 {
@@ -145,7 +153,10 @@
 
 actions attempt::unreached()
 {
-    return m_phase == phase::running ? close(record_state::withdrawn, std::nullopt) : actions{};
+    if (m_phase != phase::running)
+        return {};
+    m_refusal = failure{result_code::target_unreachable, ""};
+    return close(record_state::withdrawn, std::nullopt);
 }
 
 actions attempt::answer_lost()
--- a/source/core/ledger/attempt.hpp
+++ b/source/core/ledger/attempt.hpp
@@ -82,7 +82,9 @@
     actions written(const common::result<platform::write_answer>& answer, common::timestamp at);
     /// The target has answered.
     actions answered(kept_answer answer);
-    /// The call could not be handed over: the target never saw it.
+    /// The call could not be handed over: the target never saw it. The caller is refused once the
+    /// record says so too, since a repeat that met the old record would have to be told that the
+    /// call is under way.
     actions unreached();
     /// The call was handed over and its answer was lost.
     actions answer_lost();
@@ -105,6 +107,7 @@
     actions claim_meets(const record& found, platform::revision at_revision);
     actions claim_uncertain(const common::failure& why, common::timestamp at);
     actions withdrawn_claim(const common::result<platform::write_answer>& answer);
+    actions closed(const common::result<platform::write_answer>& answer);
     actions close_refused(const platform::write_answer& answer);
     actions give_up(common::failure why);
     actions close(record_state state, std::optional<kept_answer> answer);
@@ -117,6 +120,8 @@
     platform::revision m_expected = 0;
     common::timestamp m_begun;
     bool m_withdrawn = false;
+    /// What the caller is told when the record is closed.
+    std::optional<common::failure> m_refusal;
 };
 
 } // namespace kumquatgap::ledger
--- a/source/core/policy/call_plan.hpp
+++ b/source/core/policy/call_plan.hpp
@@ -69,8 +69,8 @@
 struct plan_options
 {
     int max_attempts = 4;
-    int max_questions = 6;
-    common::milliseconds question_pause{150};
+    int max_questions = 4;
+    common::milliseconds question_pause{100};
     common::milliseconds retry_after{1000};
 };
 
