--- a/source/core/policy/call_plan.cpp
+++ b/source/core/policy/call_plan.cpp
@@ -47,9 +47,9 @@
 
 plan_step call_plan::failed(const failure& why, bool delivered_part, retry_budget& budget)
 {
+    m_last_failure = why;
     if (!common::is_not_run(why.code))
         return after_unknown(why, delivered_part, budget);
-    m_last_refusal = why;
     if (is_final_refusal(why.code) || m_attempts >= m_options.max_attempts || !budget.spend())
         return final_answer(why);
     ++m_attempts;
@@ -60,7 +60,7 @@
 
 plan_step call_plan::after_unknown(const failure& why, bool delivered_part, retry_budget& budget)
 {
-    m_may_have_run = true;
+    m_last_unknown = why;
     if (m_rule == repeat_rule::forward_once || why.code == result_code::answer_not_kept)
         return final_answer(why);
     if (why.code == result_code::in_progress)
@@ -84,14 +84,16 @@
 plan_step call_plan::no_target_left()
 {
     return final_answer(
-        m_last_refusal.value_or(failure{result_code::no_target, "", m_options.retry_after}));
+        m_last_failure.value_or(failure{result_code::no_target, "", m_options.retry_after}));
 }
 
 plan_step call_plan::final_answer(failure why) const
 {
     // A refusal of the last attempt says nothing about the earlier ones.
-    if (m_may_have_run && common::is_not_run(why.code))
-        why = failure{result_code::outcome_unknown, "an earlier attempt may have run"};
+    if (may_have_run() && common::is_not_run(why.code))
+        why = m_rule == repeat_rule::idempotent
+                  ? *m_last_unknown
+                  : failure{result_code::outcome_unknown, "an earlier attempt may have run"};
     if (!why.retry_after)
         why.retry_after = m_options.retry_after;
     return give_answer{std::move(why)};
--- a/source/core/policy/call_plan.hpp
+++ b/source/core/policy/call_plan.hpp
@@ -87,7 +87,7 @@
     /// No target is left that could be tried.
     plan_step no_target_left();
 
-    bool may_have_run() const { return m_may_have_run; }
+    bool may_have_run() const { return m_last_unknown.has_value(); }
     int attempts() const { return m_attempts; }
 
 private:
@@ -98,8 +98,9 @@
     plan_options m_options;
     int m_attempts = 1;
     int m_questions = 0;
-    bool m_may_have_run = false;
-    std::optional<common::failure> m_last_refusal;
+    std::optional<common::failure> m_last_failure;
+    /// The last failure after which the call may have run.
+    std::optional<common::failure> m_last_unknown;
 };
 
 } // namespace kumquatgap::policy
--- a/tests/failures/deployment.cpp
+++ b/tests/failures/deployment.cpp
@@ -109,6 +109,9 @@
         start_daemon("kqg-agent", "agent-" + it.name,
                      concat("[agent]\ntarget=", it.name, "\ntarget_address=", target_address, "\n",
                             p.agent_settings));
+        if (p.relays)
+            m_relays[it.name] =
+                std::make_unique<relay>(m_loop, free_address(), address("agent-" + it.name));
     }
     apply_resources(p);
 }
@@ -181,7 +184,7 @@
             {{"service", it.service},
              {"host", "agent-" + it.name},
              {"data_centre", "ub-1"},
-             {"agent", address("agent-" + it.name)},
+             {"agent", p.relays ? m_relays.at(it.name)->address() : address("agent-" + it.name)},
              {"slots", it.slots}});
     if (!wait_for_config())
         throw std::runtime_error{"the configuration does not come into force"};
--- a/tests/failures/deployment.hpp
+++ b/tests/failures/deployment.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process.hpp"
+#include "relay.hpp"
 
 #include "io/event_loop.hpp"
 #include "io/http_client.hpp"
@@ -58,6 +59,8 @@
     std::string agent_settings = {};
     std::string router_settings = {};
     std::vector<std::string> engine_flags = {};
+    /// Routers meet the agents through relays.
+    bool relays = false;
     /// When set, agents of orders meet the order service through this address.
     std::string order_service_via = {};
 };
@@ -77,6 +80,9 @@
     const std::string& address(const std::string& name) const { return m_addresses.at(name); }
     io::event_loop& loop() { return m_loop; }
 
+    /// The relay before a target's agent.
+    relay& relay_of(const std::string& target) { return *m_relays.at(target); }
+
     /// Starts a call.
     std::shared_ptr<open_call> begin(const std::string& address, const io::http_request& request);
     /// Makes a call and waits for its end.
@@ -111,6 +117,7 @@
     std::map<std::string, std::string> m_addresses;
     std::map<std::string, std::vector<std::string>> m_commands;
     std::map<std::string, process> m_processes;
+    std::map<std::string, std::unique_ptr<relay>> m_relays;
     std::vector<std::string> m_daemons;
     std::int64_t m_last_version = 0;
 };
--- a/tests/failures/process.cpp
+++ b/tests/failures/process.cpp
@@ -2,8 +2,10 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <sys/file.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -19,7 +21,24 @@
 /// Ports below the range from which the system takes those of outgoing connections.
 constexpr int first_port = 10000;
 constexpr int port_count = 22000;
-constexpr int ports_a_program = 110;
+
+/// A port that no other test program on this machine gets at the same time: they count in a file.
+int next_port()
+{
+    const auto path = std::filesystem::temp_directory_path() / "kqg-test-ports";
+    const int fd = ::open(path.c_str(), O_CREAT | O_RDWR, 0600);
+    if (fd < 0 || ::flock(fd, LOCK_EX) != 0)
+        throw std::runtime_error{"the file that counts ports can't be locked"};
+    int n = 0;
+    if (::pread(fd, &n, sizeof n, 0) != sizeof n)
+        n = 0;
+    n = (n + 1) % port_count;
+    const bool written = ::pwrite(fd, &n, sizeof n, 0) == sizeof n;
+    ::close(fd);
+    if (!written)
+        throw std::runtime_error{"the file that counts ports can't be written"};
+    return first_port + n;
+}
 
 bool can_listen(int port)
 {
@@ -113,11 +132,10 @@
 
 std::string free_address()
 {
-    // Programs that run side by side start their search in different places.
-    static int s_next = (::getpid() * ports_a_program) % port_count;
-    while (!can_listen(first_port + s_next % port_count))
-        ++s_next;
-    return "127.0.0.1:" + std::to_string(first_port + s_next++ % port_count);
+    int port = next_port();
+    while (!can_listen(port))
+        port = next_port();
+    return "127.0.0.1:" + std::to_string(port);
 }
 
 } // namespace kumquatgap::failures
