--- /dev/null
+++ b/source/core/membership/message.cpp
@@ -0,0 +1,106 @@
+#include "membership/message.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace kumquatgap::membership
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+json to_json(const digest& m)
+{
+    json watchers = json::array();
+    for (const auto& it : m.watchers)
+        watchers.push_back({it.name, it.age.count()});
+    return {{"type", "digest"},
+            {"name", m.name},
+            {"address", m.address},
+            {"as_of", m.as_of},
+            {"watchers", std::move(watchers)}};
+}
+
+json to_json(const delta_message& m)
+{
+    json changes = json::array();
+    for (const auto& it : m.changes.changes)
+        changes.push_back({it.key, it.value ? json(*it.value) : json(), it.modified});
+    return {{"type", "delta"},
+            {"from", m.changes.from},
+            {"to", m.changes.to},
+            {"changes", std::move(changes)}};
+}
+
+json to_json(const snapshot_message& m)
+{
+    json items = json::array();
+    for (const auto& it : m.items)
+        items.push_back({it.key, it.value, it.modified});
+    return {{"type", "snapshot"}, {"as_of", m.as_of}, {"items", std::move(items)}};
+}
+
+digest read_digest(const json& in)
+{
+    digest out{in.at("name"), in.at("address"), in.at("as_of"), {}};
+    for (const auto& it : in.at("watchers"))
+        out.watchers.push_back({it.at(0), common::milliseconds{it.at(1).get<std::int64_t>()}});
+    return out;
+}
+
+delta_message read_delta(const json& in)
+{
+    delta_message out{{in.at("from"), in.at("to"), {}}};
+    for (const auto& it : in.at("changes"))
+    {
+        const auto& value = it.at(1);
+        out.changes.changes.push_back(
+            {it.at(0), value.is_null() ? std::nullopt : std::optional{value.get<std::string>()},
+             it.at(2)});
+    }
+    return out;
+}
+
+snapshot_message read_snapshot(const json& in)
+{
+    snapshot_message out{in.at("as_of"), {}};
+    for (const auto& it : in.at("items"))
+        out.items.push_back({it.at(0), it.at(1), it.at(2)});
+    return out;
+}
+
+} // namespace
+
+std::string to_bytes(const message& m, std::string_view token)
+{
+    auto body = std::visit([](const auto& it) { return to_json(it); }, m);
+    body["token"] = token;
+    std::string out;
+    json::to_cbor(body, out);
+    return out;
+}
+
+std::optional<message> from_bytes(std::string_view bytes, std::string_view token)
+{
+    const auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    try
+    {
+        if (body.at("token") != token)
+            return std::nullopt;
+        const auto type = body.at("type").get<std::string>();
+        if (type == "digest")
+            return read_digest(body);
+        if (type == "delta")
+            return read_delta(body);
+        if (type == "snapshot")
+            return read_snapshot(body);
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace kumquatgap::membership
