Daemons learn the configuration from each other; prove that it never reverts

config_follower now carries out what the spreader decides: two daemons of a data centre watch the store, the others get deltas over nng, one reports what is in force, which kqgctl status shows. A silent watch is found by the head key every 2 s.

Causes found: (1) by the model: a write whose lost answer had taken effect and was then overwritten or deleted was called 'conflict', or was made again and so undid a deletion; it now ends as 'outcome unknown'. Ruled out: the bus (messages arrive, revisions agree).

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -53,9 +53,10 @@
 agent::agent(agent_settings settings)
     : m_settings{std::move(settings)}, m_run_id{common::random_id()}, m_client{m_loop},
       m_store{m_loop, m_client, {m_settings.common.store_address, m_settings.common.store_timeout}},
-      m_follower{m_loop, m_store}, m_ledger{m_loop,
-                                            m_store,
-                                            {.retention = m_settings.ledger_retention}},
+      m_follower{m_loop, m_store, m_settings.common}, m_ledger{m_loop,
+                                                               m_store,
+                                                               {.retention =
+                                                                    m_settings.ledger_retention}},
       m_queue{{.max_waiting = m_settings.max_waiting,
                .long_call = m_settings.long_call,
                .short_reserve_percent = m_settings.short_reserve_percent}},
@@ -78,7 +79,8 @@
     m_loop.on_signal(SIGTERM, [this] { begin_shutdown(); });
     m_loop.on_signal(SIGINT, [this] { begin_shutdown(); });
     m_follower.on_change([this] { apply_resources(); });
-    m_follower.start();
+    if (!m_follower.start())
+        return shell::exit_no_address;
     m_expire_timer = m_loop.every(expire_period,
                                   [this]
                                   {
@@ -121,6 +123,8 @@
     m_metrics.set("kqg_calls_in_service", load_now.in_service);
     m_metrics.set("kqg_calls_waiting", load_now.waiting);
     m_metrics.set("kqg_config_revision", m_follower.copy().as_of());
+    m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_follower.control_bytes()));
+    m_metrics.set("kqg_is_watching", m_follower.is_watching() ? 1 : 0);
     m_metrics.set("kqg_store_calls", static_cast<std::int64_t>(m_store.calls()));
     if (shell::answer_admin_request(received.request, *answer, is_ready, m_metrics))
         return;
--- a/source/api/api.cpp
+++ b/source/api/api.cpp
@@ -40,6 +40,12 @@
     answer->reply(shell::to_answer(why));
 }
 
+failure unavailable(const failure& why)
+{
+    constexpr milliseconds retry_after{1000};
+    return {result_code::store_unavailable, why.detail, retry_after};
+}
+
 /// The kind and name in a resource's path; the name is empty for the path of a kind.
 struct resource_id
 {
@@ -177,25 +183,25 @@
 /// Tells the newest accepted revision and what each data centre has in force.
 void api::status(const io::responder_ptr& answer)
 {
-    m_store.range(std::string{config::status_root},
-                  [answer](const auto& found)
-                  {
-                      if (!found)
-                          return refuse(answer, {result_code::store_unavailable,
-                                                 found.error().detail, milliseconds{1000}});
-                      json centres = json::object();
-                      platform::revision accepted = 0;
-                      for (const auto& it : found.value().items)
+    const auto with_head = [this, answer](const auto& head)
+    {
+        if (!head)
+            return refuse(answer, unavailable(head.error()));
+        const auto accepted = head.value() ? head.value()->modified : 0;
+        m_store.range(std::string{config::status_prefix},
+                      [answer, accepted](const auto& found)
                       {
-                          if (it.key == config::head_key)
-                              accepted = it.modified;
-                          else if (it.key.starts_with(config::status_prefix))
+                          if (!found)
+                              return refuse(answer, unavailable(found.error()));
+                          json centres = json::object();
+                          for (const auto& it : found.value().items)
                               centres[it.key.substr(config::status_prefix.size())] =
                                   json::parse(it.value, nullptr, false);
-                      }
-                      reply(answer, {{"accepted_revision", std::to_string(accepted)},
-                                     {"data_centres", std::move(centres)}});
-                  });
+                          reply(answer, {{"accepted_revision", std::to_string(accepted)},
+                                         {"data_centres", std::move(centres)}});
+                      });
+    };
+    m_store.get(std::string{config::head_key}, with_head);
 }
 
 void api::write(kind k, const std::string& name, const std::string& body,
--- a/source/core/config/replica.cpp
+++ b/source/core/config/replica.cpp
@@ -13,7 +13,10 @@
         return adoption::known;
     std::map<std::string, key_value> found;
     for (const auto& it : items)
+    {
         found.emplace(it.key, it);
+        m_last_change = std::max(m_last_change, it.modified);
+    }
     const bool same =
         std::ranges::equal(found, m_items,
                            [](const auto& a, const auto& b) {
@@ -47,6 +50,7 @@
     if (c.modified <= m_as_of)
         return;
     ++m_version;
+    m_last_change = std::max(m_last_change, c.modified);
     if (c.value)
     {
         m_items.insert_or_assign(c.key, key_value{c.key, *c.value, c.modified});
--- a/source/core/config/replica.hpp
+++ b/source/core/config/replica.hpp
@@ -52,6 +52,8 @@
     /// The highest revision that is completely known; 0 before the first snapshot.
     revision as_of() const { return m_as_of; }
     bool is_ready() const { return m_as_of > 0; }
+    /// The revision of the newest change that is known.
+    revision last_change() const { return m_last_change; }
     const std::map<std::string, key_value>& items() const { return m_items; }
     /// Grows whenever an item changes, so that readers know when to look again.
     std::uint64_t version() const { return m_version; }
@@ -66,6 +68,7 @@
     revision m_as_of = 0;
     /// Deletions at or below this revision are no longer known one by one.
     revision m_tombstone_floor = 0;
+    revision m_last_change = 0;
     std::uint64_t m_version = 0;
     std::map<std::string, key_value> m_items;
     std::multimap<revision, std::string> m_tombstones;
--- a/source/core/config/resource.hpp
+++ b/source/core/config/resource.hpp
@@ -46,10 +46,8 @@
 inline constexpr std::string_view resource_prefix = "/kqg/config/";
 /// The key whose revision grows with every change of any resource.
 inline constexpr std::string_view head_key = "/kqg/config_head";
-/// The prefix of the head key and of the data centres' reports of what is in force.
-inline constexpr std::string_view status_root = "/kqg/config_";
-/// The prefix of the data centres' reports of what is in force.
-inline constexpr std::string_view status_prefix = "/kqg/config_status/";
+/// The prefix of the data centres' reports of what is in force; not followed by the daemons.
+inline constexpr std::string_view status_prefix = "/kqg_status/";
 /// The prefix of the platform's lagging list of hosts.
 inline constexpr std::string_view host_prefix = "/kqg/hosts/";
 /// The prefix of everything that the daemons follow.
--- a/source/core/config/resource_write.cpp
+++ b/source/core/config/resource_write.cpp
@@ -121,6 +121,10 @@
     if (!current && m_erases)
         return write_accepted{answer.as_of};
     const auto now_at = current ? current->modified : 0;
+    // An earlier try may have taken effect and been changed or deleted since; another one would
+    // bring back what somebody else has done away with.
+    if (m_may_have_landed)
+        return write_refused{{result_code::write_outcome_unknown, "resources have changed"}};
     if (now_at != m_resource.version)
         return write_refused{
             {result_code::conflict, common::concat("the resource is at ", now_at)}};
--- a/source/core/membership/message.cpp
+++ b/source/core/membership/message.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 namespace kumquatgap::membership
 {
 
@@ -72,6 +74,22 @@
 
 } // namespace
 
+std::string_view name_of(const message& m)
+{
+    constexpr auto names = std::to_array<std::string_view>({"digest", "delta", "snapshot"});
+    static_assert(std::variant_size_v<message> == names.size());
+    return names[m.index()];
+}
+
+platform::revision revision_of(const message& m)
+{
+    if (const auto* d = std::get_if<delta_message>(&m))
+        return d->changes.to;
+    if (const auto* s = std::get_if<snapshot_message>(&m))
+        return s->as_of;
+    return std::get<digest>(m).as_of;
+}
+
 std::string to_bytes(const message& m, std::string_view token)
 {
     auto body = std::visit([](const auto& it) { return to_json(it); }, m);
--- a/source/core/membership/message.hpp
+++ b/source/core/membership/message.hpp
@@ -43,6 +43,11 @@
 
 using message = std::variant<digest, delta_message, snapshot_message>;
 
+/// The kind of a message, for logs.
+std::string_view name_of(const message& m);
+/// The revision that a message leads to.
+platform::revision revision_of(const message& m);
+
 /// The message in CBOR, with the deployment's token.
 std::string to_bytes(const message& m, std::string_view token);
 /// Reads a message; none when it is malformed or has another token.
--- a/source/core/membership/spreader.cpp
+++ b/source/core/membership/spreader.cpp
@@ -269,12 +269,13 @@
 
 in_force_report spreader::report() const
 {
-    in_force_report out{m_replica.as_of(), m_peers.size() + 1, {}};
+    const auto newest = m_replica.last_change();
+    in_force_report out{newest, m_peers.size() + 1, {}};
     for (const auto& it : m_peers)
     {
         const auto found = m_peer_revisions.find(it.name);
         const auto revision = found == m_peer_revisions.end() ? 0 : found->second;
-        if (revision >= m_replica.as_of())
+        if (revision >= newest)
             continue;
         out.lowest = std::min(out.lowest, revision);
         out.behind.push_back(it.name);
--- a/source/core/shell/config_follower.cpp
+++ b/source/core/shell/config_follower.cpp
@@ -1,6 +1,10 @@
 #include "shell/config_follower.hpp"
 
 #include "common/log.hpp"
+#include "membership/message.hpp"
+
+#include <absl/strings/str_split.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <random>
@@ -14,116 +18,200 @@
 namespace
 {
 
-constexpr milliseconds first_retry_delay{100};
-constexpr milliseconds longest_retry_delay{5000};
 /// How often a watch is checked for having gone silent.
-constexpr milliseconds head_check_period{3000};
+constexpr milliseconds head_check_period{2000};
+constexpr milliseconds status_period{2000};
+constexpr std::size_t most_named_behind = 10;
+
+std::vector<membership::peer> parse_seeds(const std::string& text)
+{
+    std::vector<membership::peer> out;
+    for (const auto part : absl::StrSplit(text, ',', absl::SkipWhitespace()))
+    {
+        const std::string address{part};
+        out.push_back({address, address});
+    }
+    return out;
+}
 
-/// A delay between half of d and d, so that many processes don't return at once.
-milliseconds jittered(milliseconds d)
+std::string to_status(const membership::in_force_report& report)
 {
-    static std::mt19937_64 s_random{std::random_device{}()};
-    std::uniform_int_distribution<std::int64_t> any{d.count() / 2, d.count()};
-    return milliseconds{any(s_random)};
+    auto named = report.behind;
+    named.resize(std::min(named.size(), most_named_behind));
+    return nlohmann::json{{"in_force_revision", std::to_string(report.lowest)},
+                          {"hosts", report.hosts},
+                          {"behind_count", report.behind.size()},
+                          {"behind", std::move(named)}}
+        .dump();
 }
 
 } // namespace
 
-config_follower::config_follower(io::event_loop& loop, platform::store& source)
-    : m_loop{loop}, m_store{source}, m_retry_delay{first_retry_delay}
+config_follower::config_follower(io::event_loop& loop, platform::store& source,
+                                 const common_settings& settings)
+    : m_loop{loop}, m_store{source}, m_settings{settings},
+      m_spreader{{settings.host, settings.control_address},
+                 membership::spreader_options{},
+                 std::random_device{}()},
+      m_bus{loop, [this](std::string_view bytes) { receive(bytes); }}, m_seeds{parse_seeds(
+                                                                           settings.control_seeds)}
 {
 }
 
-void config_follower::start()
+bool config_follower::start()
 {
+    if (!m_settings.control_address.empty() && !m_bus.listen(m_settings.control_address))
+    {
+        common::log(common::log_level::error, "no_address",
+                    {{"address", m_settings.control_address}});
+        return false;
+    }
+    update_peers();
+    m_tick_timer = m_loop.every(membership::spreader_options{}.period,
+                                [this] { carry_out(m_spreader.tick(common::now())); });
     m_head_timer = m_loop.every(head_check_period, [this] { check_head(); });
-    read();
+    m_status_timer = m_loop.every(status_period, [this] { write_status(); });
+    carry_out(m_spreader.begin(common::now()));
+    return true;
 }
 
-void config_follower::read()
+void config_follower::carry_out(const membership::actions& list)
 {
-    m_store.range(std::string{config::followed_prefix},
-                  [this](auto answer) { take_snapshot(std::move(answer)); });
+    for (const auto& it : list)
+        std::visit([this](const auto& action) { take(action); }, it);
+    if (m_spreader.take_regression())
+        common::log(common::log_level::error, "config_regressed",
+                    {{"own_revision", copy().as_of()}});
+    refresh();
 }
 
-void config_follower::take_snapshot(common::result<platform::range_answer> answer)
+void config_follower::take(const membership::send_message& it)
 {
-    if (!answer)
-        return lost(answer.error());
-    const auto& found = answer.value();
-    const auto became = m_replica.adopt(found.as_of, found.items);
-    if (became == config::adoption::regressed)
-    {
-        common::log(common::log_level::error, "config_regressed",
-                    {{"store_revision", found.as_of}, {"own_revision", m_replica.as_of()}});
-        return retry();
-    }
-    m_retry_delay = first_retry_delay;
-    refresh();
-    watch();
+    common::log(common::log_level::debug, "control_message_sent",
+                {{"kind", membership::name_of(it.what)},
+                 {"revision", membership::revision_of(it.what)},
+                 {"to", it.address}});
+    m_bus.send(it.address, membership::to_bytes(it.what, m_settings.deployment_token));
 }
 
-void config_follower::watch()
+void config_follower::take(const membership::read_store& /*it*/)
 {
-    m_watch = m_store.start_watch(std::string{config::followed_prefix}, m_replica.as_of() + 1,
-                                  {[this](auto as_of, auto changes)
-                                   { take_changes(as_of, std::move(changes)); },
-                                   [this](const failure& why) { lost(why); }});
+    m_store.range(std::string{config::followed_prefix},
+                  [this](const auto& answer)
+                  {
+                      if (answer)
+                          return carry_out(m_spreader.store_read(answer.value(), common::now()));
+                      common::log(common::log_level::warn, "store_lost",
+                                  {{"code", common::number(answer.error().code)},
+                                   {"detail", answer.error().detail}});
+                      carry_out(m_spreader.store_failed(common::now()));
+                  });
 }
 
-void config_follower::take_changes(platform::revision as_of, std::vector<platform::change> changes)
+void config_follower::take(const membership::start_watch& /*it*/)
 {
-    m_replica.adopt(config::delta{m_replica.as_of(), as_of, std::move(changes)});
-    refresh();
+    common::log(common::log_level::info, "watch_started", {{"revision", copy().as_of()}});
+    m_watch =
+        m_store.start_watch(std::string{config::followed_prefix}, copy().as_of() + 1,
+                            {[this](auto as_of, auto changes)
+                             {
+                                 carry_out(m_spreader.store_changed(
+                                     {copy().as_of(), as_of, std::move(changes)}, common::now()));
+                             },
+                             [this](const failure& why) { watch_lost(why); }});
 }
 
-void config_follower::lost(const failure& why)
+void config_follower::take(const membership::stop_watch& /*it*/)
 {
-    common::log(common::log_level::warn, "store_lost",
-                {{"code", common::number(why.code)}, {"detail", why.detail}});
-    retry();
+    // The watch may be inside one of its own functions.
+    m_loop.defer([old = std::shared_ptr<platform::watch>{std::move(m_watch)}] {});
+}
+
+void config_follower::receive(std::string_view bytes)
+{
+    const auto m = membership::from_bytes(bytes, m_settings.deployment_token);
+    if (!m)
+    {
+        common::log(common::log_level::warn, "control_message_refused",
+                    {{"code", common::number(common::result_code::bad_message)}});
+        return;
+    }
+    common::log(common::log_level::debug, "control_message_received",
+                {{"kind", membership::name_of(*m)}, {"revision", membership::revision_of(*m)}});
+    carry_out(m_spreader.received(*m, common::now()));
 }
 
-void config_follower::retry()
+void config_follower::watch_lost(const failure& why)
 {
-    m_retry_timer = m_loop.after(jittered(m_retry_delay),
-                                 [this]
-                                 {
-                                     m_watch.reset();
-                                     read();
-                                 });
-    m_retry_delay = std::min(m_retry_delay * 2, longest_retry_delay);
+    if (!m_spreader.is_watching())
+        return;
+    common::log(common::log_level::warn, "watch_lost",
+                {{"code", common::number(why.code)}, {"detail", why.detail}});
+    carry_out(m_spreader.store_failed(common::now()));
 }
 
 /// A watch whose connection has gone silent looks like one without changes. The head key, which
 /// every accepted change moves, tells them apart.
 void config_follower::check_head()
 {
-    if (!m_watch)
+    if (!m_spreader.is_watching())
         return;
     m_store.get(std::string{config::head_key},
-                [this](auto answer)
+                [this](const auto& answer)
                 {
-                    if (!answer || !answer.value() || !m_watch)
-                        return;
-                    if (answer.value()->modified <= m_replica.as_of())
+                    if (!m_spreader.is_watching())
                         return;
-                    common::log(common::log_level::warn, "watch_silent",
-                                {{"own_revision", m_replica.as_of()},
-                                 {"head_revision", answer.value()->modified}});
-                    retry();
+                    if (!answer)
+                        return watch_lost(answer.error());
+                    const auto head = answer.value() ? answer.value()->modified : 0;
+                    if (head > copy().as_of())
+                        return watch_lost({common::result_code::store_unavailable,
+                                           "the watch has fallen silent"});
+                    m_spreader.store_heard(common::now());
                 });
 }
 
 void config_follower::refresh()
 {
-    if (m_seen_version == m_replica.version())
+    if (m_seen_version == copy().version())
         return;
-    m_seen_version = m_replica.version();
-    m_view = std::make_shared<const config::view>(m_replica);
-    common::log(common::log_level::info, "config_in_force", {{"revision", m_replica.as_of()}});
+    m_seen_version = copy().version();
+    m_view = std::make_shared<const config::view>(copy());
+    common::log(common::log_level::info, "config_in_force", {{"revision", copy().as_of()}});
+    update_peers();
     if (m_on_change)
         m_on_change();
 }
 
+void config_follower::update_peers()
+{
+    if (m_settings.control_address.empty())
+        return;
+    std::vector<membership::peer> peers;
+    for (const auto& [name, it] : m_view->hosts())
+    {
+        if (it.data_centre == m_settings.data_centre && !it.control_address.empty())
+            peers.push_back({name, it.control_address});
+    }
+    // Seeds have no place in the order of succession once the hosts are known.
+    m_spreader.set_peers(peers.empty() ? m_seeds : peers);
+}
+
+/// One process of each data centre tells the operators what is in force there.
+void config_follower::write_status()
+{
+    if (!m_spreader.speaks_for_data_centre(common::now()))
+        return;
+    auto status = to_status(m_spreader.report());
+    if (status == m_written_status)
+        return;
+    const auto key = std::string{config::status_prefix} + m_settings.data_centre;
+    m_store.write({{{}, {{key, status, 0}}}},
+                  [this, status](const auto& answer)
+                  {
+                      if (answer)
+                          m_written_status = status;
+                  });
+}
+
 } // namespace kumquatgap::shell
--- a/source/core/shell/program.cpp
+++ b/source/core/shell/program.cpp
@@ -78,6 +78,8 @@
     schema.add("process", "data_centre", common::text_setting{&s.data_centre});
     schema.add("process", "log_level", common::text_setting{&s.log_level});
     schema.add("process", "deployment_token", common::text_setting{&s.deployment_token});
+    schema.add("control", "listen", common::address_setting{&s.control_address, false});
+    schema.add("control", "seeds", common::text_setting{&s.control_seeds, false});
     schema.add("store", "address", common::address_setting{&s.store_address});
     schema.add(
         "store", "timeout_ms",
--- a/source/core/shell/program.hpp
+++ b/source/core/shell/program.hpp
@@ -28,6 +28,11 @@
     common::milliseconds store_timeout{2000};
     /// Shown by the system's own processes to each other.
     std::string deployment_token;
+    /// `ip:port` for messages between the system's own processes; without it the process watches
+    /// the store itself.
+    std::string control_address;
+    /// Addresses, divided by commas, of processes that are asked while the store gives no peers.
+    std::string control_seeds;
 };
 
 /// Declares the settings that every daemon has.
--- a/source/router/router.cpp
+++ b/source/router/router.cpp
@@ -59,7 +59,7 @@
                                                                  m_client,
                                                                  {m_settings.common.store_address,
                                                                   m_settings.common.store_timeout}},
-      m_follower{m_loop, m_store}, m_retries{retry_fraction, retry_reserve},
+      m_follower{m_loop, m_store, m_settings.common}, m_retries{retry_fraction, retry_reserve},
       m_server{m_loop,
                {static_cast<std::size_t>(m_settings.max_body_bytes),
                 static_cast<std::size_t>(m_settings.max_header_bytes)},
@@ -79,7 +79,8 @@
     }
     m_loop.on_signal(SIGTERM, [this] { begin_shutdown(); });
     m_loop.on_signal(SIGINT, [this] { begin_shutdown(); });
-    m_follower.start();
+    if (!m_follower.start())
+        return shell::exit_no_address;
     common::log(common::log_level::info, "started", {{"address", m_settings.listen}});
     m_loop.run();
     common::log(common::log_level::info, "stopped");
@@ -101,6 +102,9 @@
     const bool is_ready = m_follower.is_ready() && !m_shutting_down;
     m_metrics.set("kqg_open_calls", static_cast<std::int64_t>(m_exchanges.size()));
     m_metrics.set("kqg_config_revision", m_follower.copy().as_of());
+    m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_follower.control_bytes()));
+    m_metrics.set("kqg_store_calls", static_cast<std::int64_t>(m_store.calls()));
+    m_metrics.set("kqg_is_watching", m_follower.is_watching() ? 1 : 0);
     if (shell::answer_admin_request(received.request, *answer, is_ready, m_metrics))
         return;
     auto it = std::make_shared<exchange>(*this, std::move(received), std::move(answer));
--- a/tests/failures/deployment.cpp
+++ b/tests/failures/deployment.cpp
@@ -79,7 +79,7 @@
     return how == io::call_end::complete && body.ends_with("data: [DONE]\n\n");
 }
 
-deployment::deployment(plan p)
+deployment::deployment(plan p) : m_spreads_config{p.spreads_config}
 {
     auto folder = (std::filesystem::temp_directory_path() / "kqg-test-XXXXXX").string();
     if (::mkdtemp(folder.data()) == nullptr)
@@ -130,10 +130,20 @@
     std::filesystem::remove_all(m_folder);
 }
 
-std::string deployment::common_settings(const std::string& host) const
+std::string deployment::common_settings(const std::string& host)
 {
-    return concat("[process]\nhost=", host, "\ndata_centre=ub-1\ndeployment_token=secret\n",
-                  "[store]\naddress=", address("store"), "\ntimeout_ms=500\n");
+    std::string control;
+    if (m_spreads_config && host != "api")
+    {
+        // Each daemon knows the first ones, in case the store is out when it starts.
+        const auto address = m_addresses[host + "/control"] = free_address();
+        if (m_seeds.size() < 2)
+            m_seeds.push_back(address);
+        control = concat("[control]\nlisten=", address, "\nseeds=", m_seeds.front(), ",",
+                         m_seeds.back(), "\n");
+    }
+    return concat("[process]\nhost=", host, "\ndata_centre=ub-1\ndeployment_token=secret\nlog_level=debug\n",
+                  "[store]\naddress=", address("store"), "\ntimeout_ms=500\n", control);
 }
 
 void deployment::start(const std::string& name, std::vector<std::string> command)
@@ -149,7 +159,8 @@
     const auto path = concat(m_folder, "/", name, ".ini");
     std::ofstream{path} << common_settings(name) << settings << "listen=" << address(name) << "\n";
     start(name, {program(program_name), concat("--config=", path)});
-    m_daemons.push_back(name);
+    if (name != "api")
+        m_daemons.push_back(name);
 }
 
 void deployment::restart(const std::string& name)
@@ -162,13 +173,10 @@
 
 void deployment::apply_resources(const plan& p)
 {
-    const bool is_up = wait_until(
-        [&] {
-            return call(address("api"), {"GET", "/livez"}).status == 200;
-        });
-    if (!is_up)
-        throw std::runtime_error{"the API does not start"};
-    put("team", "shop-1", {{"member", "tt"}, {"token_sha256", common::sha256_hex(team_token)}});
+    // The API takes no write before the store has started.
+    const json team = {{"member", "tt"}, {"token_sha256", common::sha256_hex(team_token)}};
+    if (!wait_until([&] { return put("team", "shop-1", team).status == 200; }))
+        throw std::runtime_error{"the API and the store do not start"};
     put("service", "assistant",
         {{"type", "model"},
          {"model", "assistant"},
@@ -179,6 +187,8 @@
          {"path", "/orders"},
          {"deadline_ms", 10'000},
          {"once_only", json::array({{{"method", "POST"}, {"path", "/orders"}}})}});
+    if (m_spreads_config)
+        std::ranges::for_each(m_daemons, [this](const auto& it) { list_host(it, "live"); });
     for (const auto& it : p.targets)
         put("target", it.name,
             {{"service", it.service},
@@ -246,6 +256,21 @@
     return out;
 }
 
+void deployment::list_host(const std::string& name, const std::string& state)
+{
+    const json value = {{"state", state},
+                        {"data_centre", "ub-1"},
+                        {"control_address", m_addresses[name + "/control"]}};
+    const json body = {{"key", common::base64_encode("/kqg/hosts/" + name)},
+                       {"value", common::base64_encode(value.dump())}};
+    call(address("store"), {"POST", "/v3/kv/put", {}, {}, body.dump()});
+}
+
+bool deployment::wait_for_revision(const std::string& name, std::int64_t revision)
+{
+    return wait_until([&] { return metric(name, "kqg_config_revision") >= revision; });
+}
+
 void deployment::order_fault(const std::string& stand_in, const std::string& query)
 {
     call(address(stand_in), {"POST", "/stand_in/fault", query});
@@ -273,13 +298,8 @@
 
 bool deployment::wait_for_config()
 {
-    return wait_until(
-        [this]
-        {
-            return std::ranges::all_of(
-                m_daemons, [this](const std::string& it)
-                { return it == "api" || metric(it, "kqg_config_revision") >= m_last_version; });
-        });
+    return std::ranges::all_of(m_daemons, [this](const std::string& it)
+                               { return wait_for_revision(it, m_last_version); });
 }
 
 io::http_request chat(const std::string& prompt, int tokens, bool streams)
--- a/tests/failures/deployment.hpp
+++ b/tests/failures/deployment.hpp
@@ -59,6 +59,8 @@
     std::string agent_settings = {};
     std::string router_settings = {};
     std::vector<std::string> engine_flags = {};
+    /// Daemons exchange the configuration among themselves; without it each one watches the store.
+    bool spreads_config = false;
     /// Routers meet the agents through relays.
     bool relays = false;
     /// When set, agents of orders meet the order service through this address.
@@ -95,6 +97,14 @@
     /// Writes a resource through the API.
     outcome put(const std::string& kind, const std::string& name, const nlohmann::json& spec,
                 const std::string& version = "0");
+    /// Writes a daemon's host into the platform's list.
+    void list_host(const std::string& name, const std::string& state);
+    /// The names of all routers and agents.
+    const std::vector<std::string>& daemons() const { return m_daemons; }
+    /// Waits until the daemon has a revision in force.
+    bool wait_for_revision(const std::string& name, std::int64_t revision);
+    /// The revision of the last resource that was written through put().
+    std::int64_t last_version() const { return m_last_version; }
     /// Orders a fault of a stand-in.
     void order_fault(const std::string& stand_in, const std::string& query);
     /// How often the order service ran each order.
@@ -109,9 +119,10 @@
     void start_daemon(const std::string& program, const std::string& name,
                       const std::string& settings);
     void apply_resources(const plan& p);
-    std::string common_settings(const std::string& host) const;
+    std::string common_settings(const std::string& host);
 
     std::string m_folder;
+    bool m_spreads_config = false;
     io::event_loop m_loop;
     io::http_client m_client{m_loop};
     std::map<std::string, std::string> m_addresses;
@@ -119,6 +130,7 @@
     std::map<std::string, process> m_processes;
     std::map<std::string, std::unique_ptr<relay>> m_relays;
     std::vector<std::string> m_daemons;
+    std::vector<std::string> m_seeds;
     std::int64_t m_last_version = 0;
 };
 
