Prove that leaving targets get no new work and that shutdown cuts nothing off

Eight tests on real processes: the platform's list, an order to the agent, a deleted target, an order while the store is out, an order without the token; shutdown of an agent and of a router under streams, and of both under orders, whose records must be replayed.

An agent that ends at once on SIGTERM was at first noticed by the orders only, because cut streams go on elsewhere unnoticed; the tests now also require that no router saw a cut stream, and then it is noticed there too.

--- a/source/router/exchange.cpp
+++ b/source/router/exchange.cpp
@@ -241,6 +241,8 @@
                  {"target", m_target},
                  {"code", common::number(why.code)},
                  {"detail", why.detail}});
+    m_router.counters().count(
+        common::concat("kqg_attempts_failed_total{code=\"", common::number(why.code), "\"}"));
     m_tried.insert(std::exchange(m_target, {}));
     m_call.reset();
     m_attempt.clear();
--- a/tests/failures/deployment.cpp
+++ b/tests/failures/deployment.cpp
@@ -142,7 +142,8 @@
         control = concat("[control]\nlisten=", address, "\nseeds=", m_seeds.front(), ",",
                          m_seeds.back(), "\n");
     }
-    return concat("[process]\nhost=", host, "\ndata_centre=ub-1\ndeployment_token=secret\nlog_level=debug\n",
+    return concat("[process]\nhost=", host,
+                  "\ndata_centre=ub-1\ndeployment_token=secret\nlog_level=debug\n",
                   "[store]\naddress=", address("store"), "\ntimeout_ms=500\n", control);
 }
 
@@ -256,6 +257,15 @@
     return out;
 }
 
+outcome deployment::erase(const std::string& kind, const std::string& name)
+{
+    const io::header_list headers = {{"Authorization", concat("Bearer ", operator_token)}};
+    const auto path = concat("/v1/", kind, "/", name);
+    const auto found = json::parse(call(address("api"), {"GET", path, {}, headers}).body);
+    const auto version = found.value("resourceVersion", "");
+    return call(address("api"), {"DELETE", path, "resourceVersion=" + version, headers});
+}
+
 void deployment::list_host(const std::string& name, const std::string& state)
 {
     const json value = {{"state", state},
--- a/tests/failures/deployment.hpp
+++ b/tests/failures/deployment.hpp
@@ -97,6 +97,8 @@
     /// Writes a resource through the API.
     outcome put(const std::string& kind, const std::string& name, const nlohmann::json& spec,
                 const std::string& version = "0");
+    /// Deletes a resource, whatever its version, through the API.
+    outcome erase(const std::string& kind, const std::string& name);
     /// Writes a daemon's host into the platform's list.
     void list_host(const std::string& name, const std::string& state);
     /// The names of all routers and agents.
--- a/tests/stand_ins/engine_main.cpp
+++ b/tests/stand_ins/engine_main.cpp
@@ -109,7 +109,8 @@
     std::string metrics() const
     {
         return common::concat("vllm:num_requests_running ", m_running.size(),
-                              "\nvllm:num_requests_waiting ", m_waiting.size(), "\n");
+                              "\nvllm:num_requests_waiting ", m_waiting.size(),
+                              "\nstand_in_calls_total ", m_calls, "\n");
     }
 
     void start(const io::http_request& request, const io::responder_ptr& answer)
@@ -117,6 +118,7 @@
         const auto body = json::parse(request.body, nullptr, false);
         if (!body.is_object() || !body.contains("messages"))
             return answer->reply({400, {}, R"({"error":{"message":"bad request"}})"});
+        ++m_calls;
         common::log(common::log_level::info, "call",
                     {{"request_id", request.headers.find("x-request-id")},
                      {"traceparent", request.headers.find("traceparent")}});
@@ -208,6 +210,7 @@
     fault_gate m_gate{m_loop};
     std::list<sequence> m_waiting;
     std::list<sequence> m_running;
+    std::int64_t m_calls = 0;
     bool m_cut_before_end = false;
     bool m_wrong_id = false;
     io::http_server m_server;
