Interrupt long calls for short ones that wait; send without Nagle's delay

policy: a long stream that holds a slot is interrupted for a more urgent short call that waits, or when its team borrows from one that waits; it goes on in its old place as a continuation, at most four times.

Cause of slow short calls: long ones hold slots for 45 s once they have them, whatever waits.

io: requests longer than one write waited for delayed acknowledgements, seen as 57 ms a ledger batch.

--- a/bench/queue_bench.cpp
+++ b/bench/queue_bench.cpp
@@ -117,6 +117,8 @@
         return out;
     }
     void finished(std::uint64_t /*id*/, timestamp /*now*/) { --m_running; }
+    std::vector<std::uint64_t> to_pause(timestamp /*now*/) const { return {}; }
+    void paused(std::uint64_t /*id*/, milliseconds /*left*/, timestamp /*now*/) {}
 
 private:
     std::deque<std::uint64_t> m_waiting;
@@ -127,12 +129,13 @@
 class agent_queue
 {
 public:
-    explicit agent_queue(std::int64_t reserve_percent)
-        : m_queue{
-              {.slots = slots, .max_waiting = 100'000, .short_reserve_percent = reserve_percent}}
+    agent_queue(std::int64_t reserve_percent, bool pauses, std::int64_t quotes_percent = 70)
+        : m_pauses{pauses}, m_queue{{.slots = slots,
+                                     .max_waiting = 100'000,
+                                     .short_reserve_percent = reserve_percent}}
     {
-        m_queue.set_share("quotes", 70);
-        m_queue.set_share("summaries", 30);
+        m_queue.set_share("quotes", quotes_percent);
+        m_queue.set_share("summaries", 100 - quotes_percent);
     }
     bool offer(std::uint64_t id, const arrival& it, timestamp now)
     {
@@ -142,52 +145,131 @@
                     .team = it.is_long ? "summaries" : "quotes",
                     .level = it.is_long ? 5 : 2,
                     .predicted = it.predicted,
-                    .start_by = now + patience},
+                    .start_by = now + patience,
+                    .can_pause = m_pauses},
                    now)
             .has_value();
     }
     std::vector<std::uint64_t> start_ready(timestamp now) { return m_queue.start_ready(now); }
     void finished(std::uint64_t id, timestamp now) { m_queue.finished(id, now); }
+    std::vector<std::uint64_t> to_pause(timestamp now) const { return m_queue.to_pause(now); }
+    void paused(std::uint64_t id, milliseconds left, timestamp now)
+    {
+        m_queue.paused(id, left, now);
+    }
 
 private:
+    bool m_pauses;
     policy::target_queue m_queue;
 };
 
+/// What an interrupted call's prompt and text cost when it goes on.
+constexpr milliseconds resume_cost{300};
+
+/// Arrivals and slots as plain arithmetic before one queue.
 template <class Queue>
-outcome run(const std::vector<arrival>& arrivals, Queue queue)
+class target_run
 {
-    outcome out;
-    using end = std::pair<timestamp, std::uint64_t>;
-    std::priority_queue<end, std::vector<end>, std::greater<>> ends;
-    const auto start = [&](timestamp now)
+public:
+    target_run(const std::vector<arrival>& arrivals, Queue queue)
+        : m_arrivals{arrivals}, m_queue{std::move(queue)}, m_states(arrivals.size())
     {
-        for (const auto id : queue.start_ready(now))
+        for (std::size_t i = 0; i < arrivals.size(); ++i)
+            m_states[i].left = arrivals[i].length;
+    }
+
+    outcome run()
+    {
+        for (std::uint64_t next = 0; next < m_arrivals.size() || !m_ends.empty();)
         {
-            const auto& it = arrivals[id];
-            ends.emplace(now + it.length, id);
-            const auto wait = static_cast<double>((now - it.at).count());
-            if (it.is_long)
-                out.long_slowdowns.push_back(1 + wait / static_cast<double>(it.length.count()));
-            else
-                out.short_waits.push_back(wait);
+            if (!m_ends.empty() &&
+                (next == m_arrivals.size() || m_ends.top().at <= m_arrivals[next].at))
+            {
+                finish_first();
+                continue;
+            }
+            const auto& it = m_arrivals[next];
+            m_out.refused += m_queue.offer(next, it, it.at) ? 0 : 1;
+            ++next;
+            start(it.at);
         }
+        return m_out;
+    }
+
+private:
+    struct state
+    {
+        milliseconds left{0};
+        timestamp started;
+        int run_number = 0;
+        bool has_started = false;
+    };
+    struct end
+    {
+        timestamp at;
+        std::uint64_t id;
+        int run_number;
+        bool operator>(const end& other) const { return at > other.at; }
     };
-    for (std::uint64_t next = 0; next < arrivals.size() || !ends.empty();)
+
+    void finish_first()
     {
-        if (!ends.empty() && (next == arrivals.size() || ends.top().first <= arrivals[next].at))
+        const auto it = m_ends.top();
+        m_ends.pop();
+        auto& s = m_states[it.id];
+        if (s.run_number != it.run_number)
+            return;
+        m_queue.finished(it.id, it.at);
+        const auto& a = m_arrivals[it.id];
+        if (a.is_long)
+            m_out.long_slowdowns.push_back(static_cast<double>((it.at - a.at).count()) /
+                                           static_cast<double>(a.length.count()));
+        start(it.at);
+    }
+
+    void start(timestamp now)
+    {
+        start_ready(now);
+        for (const auto id : m_queue.to_pause(now))
         {
-            const auto [at, id] = ends.top();
-            ends.pop();
-            queue.finished(id, at);
-            start(at);
-            continue;
+            auto& s = m_states[id];
+            s.left = s.left - (now - s.started) + resume_cost;
+            ++s.run_number;
+            const auto& a = m_arrivals[id];
+            const auto part =
+                static_cast<double>(s.left.count()) / static_cast<double>(a.length.count());
+            m_queue.paused(id,
+                           milliseconds{static_cast<std::int64_t>(
+                               static_cast<double>(a.predicted.count()) * part)},
+                           now);
         }
-        const auto& it = arrivals[next];
-        out.refused += queue.offer(next, it, it.at) ? 0 : 1;
-        ++next;
-        start(it.at);
+        start_ready(now);
     }
-    return out;
+
+    void start_ready(timestamp now)
+    {
+        for (const auto id : m_queue.start_ready(now))
+        {
+            auto& s = m_states[id];
+            s.started = now;
+            m_ends.push({now + s.left, id, s.run_number});
+            const auto& a = m_arrivals[id];
+            if (!std::exchange(s.has_started, true) && !a.is_long)
+                m_out.short_waits.push_back(static_cast<double>((now - a.at).count()));
+        }
+    }
+
+    const std::vector<arrival>& m_arrivals;
+    Queue m_queue;
+    std::vector<state> m_states;
+    std::priority_queue<end, std::vector<end>, std::greater<>> m_ends;
+    outcome m_out;
+};
+
+template <class Queue>
+outcome run(const std::vector<arrival>& arrivals, Queue queue)
+{
+    return target_run<Queue>{arrivals, std::move(queue)}.run();
 }
 
 void print(std::string_view name, const workload& w, const outcome& o)
@@ -223,8 +305,10 @@
         std::erase_if(short_only, [](const arrival& it) { return it.is_long; });
         print("short calls alone, fifo", w, run(short_only, fifo_queue{}));
         print("fifo (baseline)", w, run(arrivals, fifo_queue{}));
-        print("agent, no reserve", w, run(arrivals, agent_queue{0}));
-        print("agent, reserve 25 %", w, run(arrivals, agent_queue{25}));
-        print("agent, reserve 50 %", w, run(arrivals, agent_queue{50}));
+        print("agent, no reserve", w, run(arrivals, agent_queue{0, false}));
+        print("agent, reserve 25 %", w, run(arrivals, agent_queue{25, false}));
+        print("agent, reserve 50 %", w, run(arrivals, agent_queue{50, false}));
+        print("agent, 25 %, pauses", w, run(arrivals, agent_queue{25, true}));
+        print("  the same, vote 95 to 5", w, run(arrivals, agent_queue{25, true, 95}));
     }
 }
--- a/bench/spread_bench.cpp
+++ b/bench/spread_bench.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <queue>
@@ -275,13 +276,28 @@
     return out;
 }
 
+/// Memory that this process holds, in kB.
+long rss_kb()
+{
+    std::ifstream file{"/proc/self/status"};
+    for (std::string line; std::getline(file, line);)
+    {
+        if (line.starts_with("VmRSS:"))
+            return std::stol(line.substr(6));
+    }
+    return 0;
+}
+
 void measure_view()
 {
     std::cout << "\nresources: what a change costs a daemon\n"
-              << "items  snapshot_kB  view_rebuild_ms\n";
-    for (const double part : {0.1, 0.25, 0.5, 1.0})
+              << "items  snapshot_kB  view_rebuild_ms  replica_and_view_MB\n";
+    for (const double part : {1.0, 0.5, 0.25, 0.1})
     {
+        const auto memory_before = rss_kb();
         const auto copy = sample_replica(part);
+        const config::view held{copy};
+        const auto memory = static_cast<double>(rss_kb() - memory_before) / 1000;
         snapshot_message all{copy.as_of(), {}};
         for (const auto& [key, it] : copy.items())
             all.items.push_back(it);
@@ -293,9 +309,9 @@
             kept += config::view{copy}.hosts().size();
         const std::chrono::duration<double, std::milli> took =
             std::chrono::steady_clock::now() - began;
-        std::cout << fmt::format("{:5}  {:11.0f}  {:15.1f}\n", copy.items().size(),
+        std::cout << fmt::format("{:5}  {:11.0f}  {:15.1f}  {:19.1f}\n", copy.items().size(),
                                  static_cast<double>(bytes) / 1000,
-                                 kept == 0 ? 0 : took.count() / rounds);
+                                 kept == 0 ? 0 : took.count() / rounds, memory);
     }
 }
 
--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -173,6 +173,17 @@
 }
 
 void agent::start_ready_calls()
+{
+    start_calls();
+    for (const auto id : m_queue.to_pause(common::now()))
+    {
+        if (const auto left = m_exchanges.at(id)->pause())
+            m_queue.paused(id, *left, common::now());
+    }
+    start_calls();
+}
+
+void agent::start_calls()
 {
     for (const auto id : m_queue.start_ready(common::now()))
         m_exchanges.at(id)->run();
--- a/source/agent/agent.hpp
+++ b/source/agent/agent.hpp
@@ -69,7 +69,7 @@
     const std::string& run_id() const { return m_run_id; }
     policy::load_report load() const;
 
-    /// Starts the calls whose turn it is.
+    /// Starts the calls whose turn it is, and interrupts long ones for short ones that wait.
     void start_ready_calls();
     /// Forgets an exchange that has ended and gives its slot to the next call.
     void remove(std::uint64_t id);
@@ -82,6 +82,7 @@
     void handle_call(const io::received_request& received, const io::responder_ptr& answer);
     std::optional<common::failure> refusal(const protocol::agent_call& call) const;
     void apply_resources();
+    void start_calls();
     void begin_drain(std::string_view why);
     void begin_shutdown();
     bool is_draining() const { return m_ordered_to_drain || m_host_is_leaving; }
--- a/source/agent/exchange.cpp
+++ b/source/agent/exchange.cpp
@@ -53,12 +53,14 @@
                                        });
     if (m_service == nullptr)
         return refuse({result_code::wrong_target, "the service's resource is gone"});
-    const auto queued = m_agent.queue().offer({.id = m_id,
-                                               .team = m_request.team,
-                                               .level = m_request.level,
-                                               .predicted = m_request.predicted,
-                                               .start_by = m_deadline},
-                                              common::now());
+    const auto queued =
+        m_agent.queue().offer({.id = m_id,
+                               .team = m_request.team,
+                               .level = m_request.level,
+                               .predicted = m_request.predicted,
+                               .start_by = m_deadline,
+                               .can_pause = m_service->is_model() && m_request.streams},
+                              common::now());
     if (!queued)
         return refuse(queued.error());
     m_agent.start_ready_calls();
@@ -72,6 +74,24 @@
         claim();
 }
 
+std::optional<common::milliseconds> exchange::pause()
+{
+    if (!m_running || m_finished)
+        return std::nullopt;
+    const auto body = nlohmann::json::parse(m_request.body, nullptr, false);
+    const auto rest = body.is_object() ? m_delivered.continuation(body) : std::nullopt;
+    if (!rest)
+        return std::nullopt;
+    m_call.reset();
+    m_running = false;
+    m_request.body = rest->dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    m_delivered = {};
+    m_agent.counters().count("kqg_pauses_total");
+    const auto had = common::now() - m_started;
+    m_request.predicted = std::max(common::milliseconds{1}, m_request.predicted - had);
+    return m_request.predicted;
+}
+
 void exchange::expired()
 {
     refuse({result_code::deadline_unreachable, "no slot was free in time"});
@@ -96,6 +116,8 @@
 void exchange::hand_over()
 {
     m_running = true;
+    m_started = common::now();
+    m_splitter = {};
     io::http_request request{m_request.method, m_request.path, m_request.query, {}, m_request.body};
     if (!m_request.content_type.empty())
         request.headers.add("Content-Type", m_request.content_type);
@@ -125,6 +147,8 @@
     if (!m_service->is_model() || !type.starts_with(event_stream))
         return;
     m_stream.emplace(expected_id());
+    if (std::exchange(m_head_sent, true))
+        return;
     send(protocol::answer_head{answer.status, std::string{event_stream}});
 }
 
@@ -155,6 +179,7 @@
     if (step.value() == protocol::engine_stream::step::chunk)
     {
         send(protocol::answer_token{++m_parts, data});
+        m_delivered.add(data);
         m_agent.counters().count("kqg_chunks_total");
         if (m_router->unsent_bytes() > max_unsent_bytes)
             target_failed({result_code::caller_gone, "the router reads too slowly"}, true);
--- a/source/agent/exchange.hpp
+++ b/source/agent/exchange.hpp
@@ -8,6 +8,7 @@
 #include "io/sse.hpp"
 #include "protocol/agent_call.hpp"
 #include "protocol/engine_stream.hpp"
+#include "protocol/resume.hpp"
 
 #include <memory>
 #include <optional>
@@ -29,6 +30,9 @@
     void start();
     /// A slot is free: the call's turn has come.
     void run();
+    /// Takes the call from its target so that it goes on later; the slot time that is left, or
+    /// nothing when the call can't be interrupted.
+    std::optional<common::milliseconds> pause();
     /// The call waited past its latest start.
     void expired();
 
@@ -67,6 +71,9 @@
     io::sse_splitter m_splitter;
     std::string m_body;
     std::int64_t m_parts = 0;
+    bool m_head_sent = false;
+    protocol::delivered_chunks m_delivered;
+    common::timestamp m_started;
 };
 
 } // namespace kumquatgap::agent
--- a/source/core/io/http_client.cpp
+++ b/source/core/io/http_client.cpp
@@ -10,6 +10,8 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -47,6 +49,15 @@
     return it == s_methods.end() ? EVHTTP_REQ_GET : it->type;
 }
 
+/// Requests longer than one write would wait for the peer's delayed acknowledgement.
+void send_without_delay(evhttp_connection* connection)
+{
+    const int on = 1;
+    const auto fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    if (fd >= 0)
+        ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 std::string take_text(evbuffer* buf)
 {
     std::string text(evbuffer_get_length(buf), '\0');
@@ -120,7 +131,7 @@
     evbuffer_add(evhttp_request_get_output_buffer(out), request.body.data(), request.body.size());
     const auto uri = request.query.empty() ? request.path : request.path + "?" + request.query;
     if (evhttp_make_request(m_connection, out, method_type(request.method), uri.c_str()) == 0)
-        return;
+        return send_without_delay(m_connection);
     // evhttp has freed the request and won't call back.
     m_request = nullptr;
     m_silence_timer =
--- a/source/core/policy/target_queue.cpp
+++ b/source/core/policy/target_queue.cpp
@@ -123,7 +123,7 @@
 {
     auto& team = m_teams[it.team];
     const auto& call = it.call->call;
-    m_running.emplace(call.id, running{it.team, is_long(call), now, call.predicted});
+    m_running.emplace(call.id, running{call, is_long(call), it.call->arrived, now});
     m_running_long += is_long(call) ? 1 : 0;
     ++team.in_service;
     team.calls.erase(it.call);
@@ -148,12 +148,9 @@
     return out;
 }
 
-void target_queue::finished(std::uint64_t id, timestamp now)
+void target_queue::leave_service(std::map<std::uint64_t, running>::iterator it, timestamp now)
 {
-    const auto it = m_running.find(id);
-    if (it == m_running.end())
-        return;
-    auto& team = m_teams[it->second.team];
+    auto& team = m_teams[it->second.call.team];
     --team.in_service;
     m_running_long -= it->second.is_long ? 1 : 0;
     const auto held = static_cast<double>((now - it->second.started).count());
@@ -161,6 +158,84 @@
     m_running.erase(it);
 }
 
+void target_queue::finished(std::uint64_t id, timestamp now)
+{
+    const auto it = m_running.find(id);
+    if (it != m_running.end())
+        leave_service(it, now);
+}
+
+bool target_queue::may_pause(const running& it, timestamp now) const
+{
+    return it.is_long && it.call.can_pause && it.call.pauses < m_limits.max_pauses &&
+           now - it.started >= m_limits.least_run;
+}
+
+/// The short calls that wait, the most urgent first.
+std::vector<const target_queue::queued*> target_queue::waiting_short_calls() const
+{
+    std::vector<const queued*> out;
+    for (const auto& [name, team] : m_teams)
+    {
+        for (const auto& it : team.calls)
+        {
+            if (!is_long(it.call))
+                out.push_back(&it);
+        }
+    }
+    std::ranges::stable_sort(out, {}, [](const queued* it) { return it->call.level; });
+    return out;
+}
+
+bool target_queue::goes_before(const queued& waiting, const running& it) const
+{
+    const auto& team = it.call.team;
+    const bool borrows = in_service_of(team) > entitled_slots(team);
+    const bool waits_for_its_own =
+        in_service_of(waiting.call.team) < entitled_slots(waiting.call.team);
+    return waiting.call.level < it.call.level || (borrows && waits_for_its_own);
+}
+
+std::vector<std::uint64_t> target_queue::to_pause(timestamp now) const
+{
+    std::vector<std::uint64_t> out;
+    if (in_service() < m_limits.slots)
+        return out;
+    std::vector<const running*> candidates;
+    for (const auto& [id, it] : m_running)
+    {
+        if (may_pause(it, now))
+            candidates.push_back(&it);
+    }
+    // The call that has run longest gives way: it has had the most of the service.
+    std::ranges::sort(candidates, {}, [](const running* it) { return it->started; });
+    for (const auto* waiting : waiting_short_calls())
+    {
+        const auto it = std::ranges::find_if(candidates, [&](const running* x)
+                                             { return goes_before(*waiting, *x); });
+        if (it == candidates.end())
+            continue;
+        out.push_back((*it)->call.id);
+        candidates.erase(it);
+    }
+    return out;
+}
+
+void target_queue::paused(std::uint64_t id, milliseconds left, timestamp now)
+{
+    const auto it = m_running.find(id);
+    if (it == m_running.end())
+        return;
+    queued again{it->second.call, it->second.arrived};
+    again.call.predicted = left;
+    // A call that has been served before is not dropped for having waited.
+    again.call.start_by = timestamp::max();
+    ++again.call.pauses;
+    leave_service(it, now);
+    m_teams[again.call.team].calls.push_front(std::move(again));
+    ++m_waiting_count;
+}
+
 bool target_queue::withdraw(std::uint64_t id)
 {
     for (auto& [name, team] : m_teams)
@@ -193,8 +268,8 @@
     milliseconds sum{0};
     for (const auto& [id, it] : m_running)
     {
-        if (team == nullptr || it.team == *team)
-            sum += std::max(milliseconds{0}, it.predicted - (now - it.started));
+        if (team == nullptr || it.call.team == *team)
+            sum += std::max(milliseconds{0}, it.call.predicted - (now - it.started));
     }
     for (const auto& [name, state] : m_teams)
     {
--- a/source/core/policy/target_queue.hpp
+++ b/source/core/policy/target_queue.hpp
@@ -27,6 +27,10 @@
     milliseconds predicted{1000};
     /// The call must have a slot by then.
     timestamp start_by;
+    /// True when the call can be interrupted and go on later.
+    bool can_pause = false;
+    /// How often it was interrupted.
+    int pauses = 0;
 };
 
 /// The limits of a target's queue.
@@ -40,6 +44,10 @@
     std::int64_t short_reserve_percent = 25;
     /// What a waiting call's level improves by one for, so that every call is served in the end.
     milliseconds ageing{10'000};
+    /// A call holds its slot at least this long before it can be interrupted.
+    milliseconds least_run{1000};
+    /// No call is interrupted more often, so that long calls end.
+    int max_pauses = 4;
 };
 
 /// Decides which call gets the next slot of a target.
@@ -60,6 +68,11 @@
     common::result<void> offer(const waiting_call& call, timestamp now);
     /// The calls that get a slot now, in order.
     std::vector<std::uint64_t> start_ready(timestamp now);
+    /// The calls in service that should be interrupted, so that short calls that wait get their
+    /// slots: long ones of less urgent teams, or of teams that borrow from a team that waits.
+    std::vector<std::uint64_t> to_pause(timestamp now) const;
+    /// A call in service was interrupted; it waits again in its old place.
+    void paused(std::uint64_t id, milliseconds left, timestamp now);
     /// Removes the calls whose latest start has passed.
     std::vector<std::uint64_t> expire(timestamp now);
     /// A call in service has ended.
@@ -92,10 +105,10 @@
     };
     struct running
     {
-        std::string team;
+        waiting_call call;
         bool is_long = false;
+        timestamp arrived;
         timestamp started;
-        milliseconds predicted{0};
     };
     /// Orders the teams' best calls; smaller goes first.
     struct rank
@@ -115,6 +128,10 @@
 
     bool is_long(const waiting_call& call) const { return call.predicted > m_limits.long_call; }
     std::int64_t long_slots() const;
+    bool may_pause(const running& it, timestamp now) const;
+    std::vector<const queued*> waiting_short_calls() const;
+    bool goes_before(const queued& waiting, const running& it) const;
+    void leave_service(std::map<std::uint64_t, running>::iterator it, timestamp now);
     std::int64_t aged_level(const queued& it, timestamp now) const;
     std::optional<candidate> best_of(const std::string& name, team_state& team, timestamp now);
     std::optional<candidate> next(timestamp now);
--- a/source/core/protocol/agent_call.cpp
+++ b/source/core/protocol/agent_call.cpp
@@ -39,6 +39,7 @@
     {"content-type", &agent_call::content_type, false},
 });
 
+constexpr auto s_streams_header = "x-kqg-streams";
 constexpr auto s_level_header = "x-kqg-level";
 constexpr auto s_predicted_header = "x-kqg-predicted-ms";
 constexpr auto s_time_left_header = "x-kqg-time-left-ms";
@@ -136,6 +137,8 @@
         if (!(call.*it.field).empty())
             out.headers.add(it.header, call.*it.field);
     }
+    if (call.streams)
+        out.headers.add(s_streams_header, "true");
     out.headers.add(s_level_header, std::to_string(call.level));
     out.headers.add(s_predicted_header, std::to_string(call.predicted.count()));
     out.headers.add(s_time_left_header, std::to_string(call.time_left.count()));
@@ -157,6 +160,7 @@
         !read_number(request.headers.find(s_predicted_header), predicted) ||
         !read_number(request.headers.find(s_time_left_header), time_left))
         return std::nullopt;
+    out.streams = request.headers.find(s_streams_header) == "true";
     out.predicted = common::milliseconds{predicted};
     out.time_left = common::milliseconds{time_left};
     out.body = request.body;
--- a/source/core/protocol/agent_call.hpp
+++ b/source/core/protocol/agent_call.hpp
@@ -31,6 +31,8 @@
     common::milliseconds predicted{0};
     /// The time that is left for the call.
     common::milliseconds time_left{0};
+    /// True when the caller asked for a stream, which can be interrupted and go on later.
+    bool streams = false;
     /// Set for calls that must not run twice.
     std::string idempotency_key;
     std::string traceparent;
--- a/source/router/exchange.cpp
+++ b/source/router/exchange.cpp
@@ -85,6 +85,7 @@
             .level = m_context.level,
             .predicted = m_context.predicted,
             .time_left = std::max(milliseconds{0}, m_deadline - common::now()),
+            .streams = m_context.streams,
             .idempotency_key = m_context.idempotency_key,
             .traceparent = common::traceparent(m_context.hop),
             .method = request.method,
