--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -179,6 +179,7 @@
         const double agent_before = cpu_s(agent);
         const auto began = clock_type::now();
         std::vector<std::shared_ptr<open_call>> calls;
+        calls.reserve(static_cast<std::size_t>(streams));
         for (int i = 0; i < streams; ++i)
             calls.push_back(d.begin(d.address("router-0"), chat(std::to_string(i), tokens, true)));
         long memory = 0;
--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -122,9 +122,7 @@
     const auto load_now = load();
     m_metrics.set("kqg_calls_in_service", load_now.in_service);
     m_metrics.set("kqg_calls_waiting", load_now.waiting);
-    m_metrics.set("kqg_config_revision", m_follower.copy().as_of());
-    m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_follower.control_bytes()));
-    m_metrics.set("kqg_is_watching", m_follower.is_watching() ? 1 : 0);
+    m_follower.write_metrics(m_metrics);
     m_metrics.set("kqg_store_calls", static_cast<std::int64_t>(m_store.calls()));
     if (shell::answer_admin_request(received.request, *answer, is_ready, m_metrics))
         return;
--- a/source/api/api.cpp
+++ b/source/api/api.cpp
@@ -89,11 +89,11 @@
     schema.add("api", "reader_token", common::text_setting{&s.reader_token});
 }
 
-api::api(api_settings settings)
-    : m_settings{std::move(settings)}, m_client{m_loop}, m_store{m_loop,
-                                                                 m_client,
-                                                                 {m_settings.common.store_address,
-                                                                  m_settings.common.store_timeout}},
+api::api(const api_settings& settings)
+    : m_settings{settings}, m_client{m_loop}, m_store{m_loop,
+                                                      m_client,
+                                                      {m_settings.common.store_address,
+                                                       m_settings.common.store_timeout}},
       m_server{m_loop,
                {},
                [this](const io::received_request& received, const io::responder_ptr& answer)
--- a/source/api/api.hpp
+++ b/source/api/api.hpp
@@ -32,7 +32,7 @@
 class api
 {
 public:
-    explicit api(api_settings settings);
+    explicit api(const api_settings& settings);
 
     /// Runs until shut down; the result is the program's exit status.
     int run();
--- a/source/core/io/control_bus.cpp
+++ b/source/core/io/control_bus.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr std::size_t max_message_bytes = std::size_t{4} << 20;
-constexpr std::size_t max_open_peers = 64;
+constexpr std::size_t max_open_peers = 256;
 
 } // namespace
 
--- a/source/core/io/http_server.cpp
+++ b/source/core/io/http_server.cpp
@@ -1,6 +1,7 @@
 #include "io/http_server.hpp"
 
 #include "common/settings.hpp"
+#include "common/text.hpp"
 
 #include <evhtp.h>
 
@@ -214,12 +215,11 @@
 
 void http_server::set_malformed_answer(const http_answer& answer)
 {
-    m_malformed_answer = "HTTP/1.1 " + std::to_string(answer.status) + " Bad Request\r\n";
+    m_malformed_answer = common::concat("HTTP/1.1 ", answer.status, " Bad Request\r\n");
     for (const auto& [name, value] : answer.headers)
-        m_malformed_answer += name + ": " + value + "\r\n";
-    m_malformed_answer +=
-        "Connection: close\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n" +
-        answer.body;
+        m_malformed_answer += common::concat(name, ": ", value, "\r\n");
+    m_malformed_answer += common::concat(
+        "Connection: close\r\nContent-Length: ", answer.body.size(), "\r\n\r\n", answer.body);
 }
 
 bool http_server::listen(std::string_view address)
--- a/source/core/shell/config_follower.cpp
+++ b/source/core/shell/config_follower.cpp
@@ -75,6 +75,13 @@
     return true;
 }
 
+void config_follower::write_metrics(common::metrics& m) const
+{
+    m.set("kqg_config_revision", copy().as_of());
+    m.set("kqg_control_bytes", static_cast<std::int64_t>(m_bus.bytes()));
+    m.set("kqg_is_watching", m_spreader.is_watching() ? 1 : 0);
+}
+
 void config_follower::carry_out(const membership::actions& list)
 {
     for (const auto& it : list)
--- a/source/core/shell/config_follower.hpp
+++ b/source/core/shell/config_follower.hpp
@@ -30,9 +30,8 @@
     std::shared_ptr<const config::view> view() const { return m_view; }
     /// Calls fn after every change of the view.
     void on_change(std::function<void()> fn) { m_on_change = std::move(fn); }
-    /// Bytes of control messages, both directions.
-    std::uint64_t control_bytes() const { return m_bus.bytes(); }
-    bool is_watching() const { return m_spreader.is_watching(); }
+    /// Sets the gauges that tell operators about the configuration.
+    void write_metrics(common::metrics& m) const;
 
 private:
     void carry_out(const membership::actions& list);
--- a/source/router/router.cpp
+++ b/source/router/router.cpp
@@ -102,10 +102,8 @@
 {
     const bool is_ready = m_follower.is_ready() && !m_shutting_down;
     m_metrics.set("kqg_open_calls", static_cast<std::int64_t>(m_exchanges.size()));
-    m_metrics.set("kqg_config_revision", m_follower.copy().as_of());
-    m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_follower.control_bytes()));
+    m_follower.write_metrics(m_metrics);
     m_metrics.set("kqg_store_calls", static_cast<std::int64_t>(m_store.calls()));
-    m_metrics.set("kqg_is_watching", m_follower.is_watching() ? 1 : 0);
     if (shell::answer_admin_request(received.request, *answer, is_ready, m_metrics))
         return;
     auto it = std::make_shared<exchange>(*this, std::move(received), std::move(answer));
--- a/tests/failures/deployment.cpp
+++ b/tests/failures/deployment.cpp
@@ -246,11 +246,11 @@
                         const std::string& version)
 {
     const json body = {{"spec", spec}, {"resourceVersion", version}};
-    const auto out = call(address("api"), {"PUT",
-                                           concat("/v1/", kind, "/", name),
-                                           {},
-                                           {{"Authorization", concat("Bearer ", operator_token)}},
-                                           body.dump()});
+    auto out = call(address("api"), {"PUT",
+                                     concat("/v1/", kind, "/", name),
+                                     {},
+                                     {{"Authorization", concat("Bearer ", operator_token)}},
+                                     body.dump()});
     const auto value = json::parse(out.body, nullptr, false);
     if (out.status == 200)
         common::parse_number(value.value("resourceVersion", ""), m_last_version);
--- a/tests/failures/leaving_test.cpp
+++ b/tests/failures/leaving_test.cpp
@@ -55,6 +55,7 @@
 std::vector<std::shared_ptr<open_call>> begin_streams(deployment& d, int count, int tokens)
 {
     std::vector<std::shared_ptr<open_call>> out;
+    out.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         out.push_back(d.begin(d.address(common::concat("router-", i % 2)),
                               chat(common::concat("p", i), tokens, true)));
@@ -173,6 +174,7 @@
     deployment d{p};
     d.order_fault("orders", "kind=slow&delay_ms=500");
     std::vector<std::shared_ptr<open_call>> calls;
+    calls.reserve(stream_count);
     for (int i = 0; i < stream_count; ++i)
         calls.push_back(d.begin(d.address("router-0"), order(common::concat("r-", i))));
     cr_assert(
--- a/tests/stand_ins/engine_main.cpp
+++ b/tests/stand_ins/engine_main.cpp
@@ -1,4 +1,5 @@
 #include "fault_gate.hpp"
+#include "serve.hpp"
 
 #include "common/hash.hpp"
 #include "common/log.hpp"
@@ -10,7 +11,6 @@
 #include <absl/flags/parse.h>
 #include <nlohmann/json.hpp>
 
-#include <csignal>
 #include <list>
 #include <memory>
 
@@ -61,13 +61,9 @@
 
     int run(const std::string& address)
     {
-        if (!m_server.listen(address))
-            return 1;
-        m_loop.on_signal(SIGTERM, [this] { m_loop.stop(); });
         const common::milliseconds period{std::max(1, absl::GetFlag(FLAGS_token_ms))};
         const auto step_timer = m_loop.every(period, [this] { step(); });
-        m_loop.run();
-        return 0;
+        return serve(m_loop, m_server, address);
     }
 
 private:
--- a/tests/stand_ins/order_service_main.cpp
+++ b/tests/stand_ins/order_service_main.cpp
@@ -1,4 +1,5 @@
 #include "fault_gate.hpp"
+#include "serve.hpp"
 
 #include "common/log.hpp"
 #include "io/event_loop.hpp"
@@ -8,7 +9,6 @@
 #include <absl/flags/parse.h>
 #include <nlohmann/json.hpp>
 
-#include <csignal>
 #include <map>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:9000", "ip:port");
@@ -33,14 +33,7 @@
     {
     }
 
-    int run(const std::string& address)
-    {
-        if (!m_server.listen(address))
-            return 1;
-        m_loop.on_signal(SIGTERM, [this] { m_loop.stop(); });
-        m_loop.run();
-        return 0;
-    }
+    int run(const std::string& address) { return serve(m_loop, m_server, address); }
 
 private:
     void handle(const io::http_request& request, const io::responder_ptr& answer)
--- a/tests/stand_ins/store_main.cpp
+++ b/tests/stand_ins/store_main.cpp
@@ -1,5 +1,6 @@
 #include "fault_gate.hpp"
 #include "key_value_table.hpp"
+#include "serve.hpp"
 
 #include "common/clock.hpp"
 #include "common/log.hpp"
@@ -10,7 +11,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
-#include <csignal>
 #include <list>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:2379", "ip:port");
@@ -37,17 +37,13 @@
 
     int run(const std::string& address)
     {
-        if (!m_server.listen(address))
-            return 1;
-        m_loop.on_signal(SIGTERM, [this] { m_loop.stop(); });
         const auto lease_timer = m_loop.every(common::milliseconds{200},
                                               [this]
                                               {
                                                   m_table.expire_leases(now_s());
                                                   notify();
                                               });
-        m_loop.run();
-        return 0;
+        return serve(m_loop, m_server, address);
     }
 
 private:
