--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -7,7 +7,8 @@
 while [ "$SECONDS" -lt "$end" ]; do
   echo "seed=$seed"
   for it in "$build"/bin/fuzz_*; do
-    RC_PARAMS="seed=$seed max_success=400 max_size=200" "$it" --jobs 1 >"$build/fuzz.log" 2>&1 ||
+    # Whether a mutation is noticed depends on the count of cases, so those stay in the tests.
+    RC_PARAMS="seed=$seed max_success=400 max_size=200" "$it" --jobs 1 --filter '*/!(notices*)' >"$build/fuzz.log" 2>&1 ||
       { echo "failed: $it seed=$seed"; tail -n 60 "$build/fuzz.log"; exit 1; }
   done
   seed=$((seed + 1))
