--- a/source/unit_tests/ledger/fuzz_ledger.cpp
+++ b/source/unit_tests/ledger/fuzz_ledger.cpp
@@ -230,7 +230,7 @@
     {
         return choose(m_attempts, a, [](const tried& t) { return t.alive && t.waits_for_service; });
     }
-    std::size_t index_of(std::deque<tried>::iterator it) const
+    std::size_t index_of(const std::deque<tried>::iterator& it) const
     {
         return static_cast<std::size_t>(it - m_attempts.begin());
     }
