--- a/bench/spread_bench.cpp
+++ b/bench/spread_bench.cpp
@@ -94,8 +94,8 @@
         const auto written_at = m_now;
         ++m_revision;
         const std::string spec(200, 'x');
-        const platform::change c{
-            common::concat(config::resource_prefix, "team/t-", m_revision % 50), spec, m_revision};
+        const kv::change c{common::concat(config::resource_prefix, "team/t-", m_revision % 50),
+                           spec, m_revision};
         m_items[c.key] = {c.key, *c.value, c.modified};
         for (std::size_t i = 0; i < m_host_count; ++i)
         {
@@ -180,7 +180,7 @@
     void take(std::size_t n, const read_store&)
     {
         ++m_store_calls;
-        platform::range_answer all{m_revision, {}};
+        kv::range_answer all{m_revision, {}};
         for (const auto& [key, it] : m_items)
             all.items.push_back(it);
         carry_out(n, m_processes[n].store_read(all, m_now + store_latency));
@@ -199,8 +199,8 @@
     std::vector<bool> m_watching;
     timer_queue m_timers;
     std::multimap<timestamp, send_message> m_in_flight;
-    platform::revision m_revision = 1;
-    std::map<std::string, platform::key_value> m_items;
+    kv::revision m_revision = 1;
+    std::map<std::string, kv::key_value> m_items;
     std::optional<timestamp> m_all_have_it_at;
     timestamp m_behind_check;
     std::uint64_t m_messages = 0;
@@ -239,10 +239,10 @@
 /// A replica with a share of the resources of the size to design for.
 config::replica sample_replica(double part)
 {
-    std::vector<platform::key_value> items;
+    std::vector<kv::key_value> items;
     const auto add = [&](config::kind k, const std::string& name, nlohmann::json spec)
     {
-        const auto n = static_cast<platform::revision>(items.size() + 1);
+        const auto n = static_cast<kv::revision>(items.size() + 1);
         items.push_back({config::key_of(k, name),
                          config::to_stored({k, name, std::move(spec), 0, std::string(32, 'w')}),
                          n});
@@ -270,9 +270,9 @@
         items.push_back(
             {common::concat(config::host_prefix, "host-", i),
              R"({"state":"live","data_centre":"dc-1","control_address":"10.0.0.1:7001"})",
-             static_cast<platform::revision>(items.size() + 1)});
+             static_cast<kv::revision>(items.size() + 1)});
     config::replica out;
-    out.adopt(static_cast<platform::revision>(items.size() + 1), items);
+    out.adopt(static_cast<kv::revision>(items.size() + 1), items);
     return out;
 }
 
--- a/source/agent/agent.hpp
+++ b/source/agent/agent.hpp
@@ -3,7 +3,7 @@
 #include "common/metrics.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
-#include "platform/etcd_store.hpp"
+#include "kv/etcd_store.hpp"
 #include "policy/target_queue.hpp"
 #include "protocol/agent_call.hpp"
 #include "shell/config_follower.hpp"
@@ -91,7 +91,7 @@
     std::string m_run_id;
     io::event_loop m_loop;
     io::http_client m_client;
-    platform::etcd_store m_store;
+    kv::etcd_store m_store;
     shell::config_follower m_follower;
     shell::ledger_writer m_ledger;
     policy::target_queue m_queue;
--- a/source/api/api.cpp
+++ b/source/api/api.cpp
@@ -64,7 +64,7 @@
 }
 
 /// A change of a watched kind as one line.
-std::string to_line(kind k, const platform::change& it)
+std::string to_line(kind k, const kv::change& it)
 {
     const auto prefix = config::key_of(k, "");
     if (!it.key.starts_with(prefix))
@@ -223,7 +223,7 @@
 void api::erase(kind k, const std::string& name, const std::string& version,
                 const io::responder_ptr& answer)
 {
-    platform::revision expected = 0;
+    kv::revision expected = 0;
     if (!common::parse_number(version, expected))
         return refuse(answer, {result_code::bad_field, "resourceVersion must be a number"});
     const auto work =
@@ -257,8 +257,8 @@
                       [this, work, answer](const auto& done)
                       {
                           const auto first =
-                              done ? common::result<platform::write_answer>{done.value().at(0)}
-                                   : common::result<platform::write_answer>{done.error()};
+                              done ? common::result<kv::write_answer>{done.value().at(0)}
+                                   : common::result<kv::write_answer>{done.error()};
                           carry_out(work, work->written(first, common::now()), answer);
                       });
     };
@@ -276,7 +276,7 @@
 
 void api::watch(kind k, const std::string& from, const io::responder_ptr& answer)
 {
-    platform::revision version = 0;
+    kv::revision version = 0;
     if (!common::parse_number(from, version) || version < 0)
         return refuse(answer, {result_code::bad_field, "resourceVersion must be a number"});
     answer->start_stream(http_ok, {{"Content-Type", std::string{json_type}}});
--- a/source/api/api.hpp
+++ b/source/api/api.hpp
@@ -4,7 +4,7 @@
 #include "config/resource_write.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
-#include "platform/etcd_store.hpp"
+#include "kv/etcd_store.hpp"
 #include "shell/program.hpp"
 
 #include <list>
@@ -42,7 +42,7 @@
     struct watch_stream
     {
         io::responder_ptr answer;
-        std::unique_ptr<platform::watch> source;
+        std::unique_ptr<kv::watch> source;
     };
 
     void handle(const io::received_request& received, const io::responder_ptr& answer);
@@ -61,7 +61,7 @@
     api_settings m_settings;
     io::event_loop m_loop;
     io::http_client m_client;
-    platform::etcd_store m_store;
+    kv::etcd_store m_store;
     common::metrics m_metrics;
     std::list<watch_stream> m_watches;
     io::http_server m_server;
--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -30,8 +30,8 @@
      "The idempotency key was used before with another call."},
     {not_permitted, "not_permitted", 403, not_run, "The token does not permit this."},
     {bad_key, "bad_key", 400, not_run, "The idempotency key is empty, too long or not printable."},
-    {bad_request, "bad_request", 400, not_run,
-     "The request is not valid HTTP, or one header is longer than 8 kB."},
+    {bad_request, "bad_request", 400, not_run, "The request is not valid HTTP or has no id."},
+    {request_timeout, "request_timeout", 408, not_run, "The request did not arrive whole in time."},
 
     {no_target, "no_target", 503, not_run, "No target of the service takes work now."},
     {target_draining, "target_draining", 503, not_run, "The target is leaving."},
--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -37,6 +37,7 @@
     not_permitted = 1011,
     bad_key = 1012,
     bad_request = 1013,
+    request_timeout = 1014,
 
     no_target = 2001,
     target_draining = 2002,
--- a/source/core/common/settings.cpp
+++ b/source/core/common/settings.cpp
@@ -5,6 +5,7 @@
 #include <ini.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstring>
 #include <set>
 
@@ -38,6 +39,19 @@
         return {};
     }
 
+    std::string operator()(const decimal_setting& s) const
+    {
+        double n = 0;
+        const auto* end = value.data() + value.size();
+        const auto [at, ec] = std::from_chars(value.data(), end, n);
+        if (ec != std::errc{} || at != end)
+            return common::concat("'", value, "' is not a number");
+        if (n < s.lowest || n > s.highest)
+            return common::concat(n, " is not between ", s.lowest, " and ", s.highest);
+        *s.target = n;
+        return {};
+    }
+
     std::string operator()(const duration_setting& s) const
     {
         std::int64_t n = 0;
--- a/source/core/common/settings.hpp
+++ b/source/core/common/settings.hpp
@@ -30,6 +30,14 @@
     std::int64_t highest;
 };
 
+/// A setting that is a decimal number within bounds, both included.
+struct decimal_setting
+{
+    double* target;
+    double lowest;
+    double highest;
+};
+
 /// A setting that is a time in milliseconds within bounds, both included.
 struct duration_setting
 {
@@ -51,8 +59,8 @@
     bool required = true;
 };
 
-using setting =
-    std::variant<text_setting, number_setting, duration_setting, flag_setting, address_setting>;
+using setting = std::variant<text_setting, number_setting, decimal_setting, duration_setting,
+                             flag_setting, address_setting>;
 
 /// One mistake in a settings file; line 0 stands for the file as a whole.
 struct settings_error
--- a/source/core/config/replica.hpp
+++ b/source/core/config/replica.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store.hpp"
+#include "kv/store.hpp"
 
 #include <cstdint>
 #include <map>
@@ -11,9 +11,9 @@
 namespace kumquatgap::config
 {
 
-using platform::change;
-using platform::key_value;
-using platform::revision;
+using kv::change;
+using kv::key_value;
+using kv::revision;
 
 /// The changes that lead from one revision to another.
 struct delta
--- a/source/core/config/resource.cpp
+++ b/source/core/config/resource.cpp
@@ -278,7 +278,7 @@
     return json{{"spec", r.spec}, {"writer", r.writer}}.dump();
 }
 
-std::optional<resource> from_stored(const platform::key_value& kv)
+std::optional<resource> from_stored(const kv::key_value& kv)
 {
     std::string_view key = kv.key;
     if (!key.starts_with(resource_prefix))
--- a/source/core/config/resource.hpp
+++ b/source/core/config/resource.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/failure.hpp"
-#include "platform/store.hpp"
+#include "kv/store.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -37,7 +37,7 @@
     std::string name;
     nlohmann::json spec;
     /// The store's revision of its last change; 0 for one that is not stored yet.
-    platform::revision version = 0;
+    kv::revision version = 0;
     /// Tells the writer of the last change whether a write with a lost answer was its own.
     std::string writer;
 };
@@ -59,7 +59,7 @@
 /// The resource's form in the platform's store.
 std::string to_stored(const resource& r);
 /// Reads a stored resource; none when the key or value is malformed.
-std::optional<resource> from_stored(const platform::key_value& kv);
+std::optional<resource> from_stored(const kv::key_value& kv);
 
 /// The resource's form in the operators' API, with `resourceVersion`.
 nlohmann::json to_json(const resource& r);
--- a/source/core/config/resource_write.cpp
+++ b/source/core/config/resource_write.cpp
@@ -17,13 +17,13 @@
 constexpr common::milliseconds write_time{5000};
 constexpr common::milliseconds repeat_pause{200};
 
-platform::revision revision_of(const platform::range_answer& answer, std::string_view key)
+kv::revision revision_of(const kv::range_answer& answer, std::string_view key)
 {
-    const auto it = std::ranges::find(answer.items, key, &platform::key_value::key);
+    const auto it = std::ranges::find(answer.items, key, &kv::key_value::key);
     return it == answer.items.end() ? 0 : it->modified;
 }
 
-std::vector<resource> all_resources(const platform::range_answer& answer)
+std::vector<resource> all_resources(const kv::range_answer& answer)
 {
     std::vector<resource> out;
     for (const auto& it : answer.items)
@@ -41,7 +41,7 @@
     return {std::move(r), false};
 }
 
-resource_write resource_write::erase(kind k, std::string name, platform::revision version)
+resource_write resource_write::erase(kind k, std::string name, kv::revision version)
 {
     return {resource{k, std::move(name), nlohmann::json::object(), version, ""}, true};
 }
@@ -52,7 +52,7 @@
     return read_resources{};
 }
 
-write_step resource_write::resources_read(const common::result<platform::range_answer>& answer,
+write_step resource_write::resources_read(const common::result<kv::range_answer>& answer,
                                           common::timestamp at)
 {
     if (!answer && at - m_begun < write_time &&
@@ -92,7 +92,7 @@
     return common::concat(name_of(user->type), " ", user->name, " refers to it");
 }
 
-write_step resource_write::written(const common::result<platform::write_answer>& answer,
+write_step resource_write::written(const common::result<kv::write_answer>& answer,
                                    common::timestamp at)
 {
     if (!answer)
@@ -112,7 +112,7 @@
     return write_refused{{result_code::store_unavailable, why.detail, repeat_pause}};
 }
 
-write_step resource_write::not_applied(const platform::write_answer& answer, common::timestamp at)
+write_step resource_write::not_applied(const kv::write_answer& answer, common::timestamp at)
 {
     const auto& current = answer.current.at(0);
     const auto stored = current ? from_stored(*current) : std::nullopt;
--- a/source/core/config/resource_write.hpp
+++ b/source/core/config/resource_write.hpp
@@ -2,7 +2,7 @@
 
 #include "common/clock.hpp"
 #include "config/resource.hpp"
-#include "platform/store.hpp"
+#include "kv/store.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -21,14 +21,14 @@
 /// Carry out the transaction after a pause, then call written().
 struct write_transaction
 {
-    platform::transaction what;
+    kv::transaction what;
     common::milliseconds pause{0};
 };
 
 /// The write was accepted at this revision.
 struct write_accepted
 {
-    platform::revision version = 0;
+    kv::revision version = 0;
 };
 
 /// The write was refused, or its outcome is not known.
@@ -50,23 +50,22 @@
     /// Writes r if the stored resource still has r.version.
     static resource_write put(resource r);
     /// Deletes the resource if it still has this version.
-    static resource_write erase(kind k, std::string name, platform::revision version);
+    static resource_write erase(kind k, std::string name, kv::revision version);
 
     write_step begin(common::timestamp at);
-    write_step resources_read(const common::result<platform::range_answer>& answer,
-                              common::timestamp at);
-    write_step written(const common::result<platform::write_answer>& answer, common::timestamp at);
+    write_step resources_read(const common::result<kv::range_answer>& answer, common::timestamp at);
+    write_step written(const common::result<kv::write_answer>& answer, common::timestamp at);
 
 private:
     resource_write(resource r, bool erases) : m_resource{std::move(r)}, m_erases{erases} {}
     std::string rule_broken_by(const std::vector<resource>& others) const;
     write_step uncertain(const common::failure& why, common::timestamp at);
-    write_step not_applied(const platform::write_answer& answer, common::timestamp at);
+    write_step not_applied(const kv::write_answer& answer, common::timestamp at);
 
     resource m_resource;
     bool m_erases;
     bool m_may_have_landed = false;
-    platform::transaction m_transaction;
+    kv::transaction m_transaction;
     common::timestamp m_begun;
 };
 
--- a/source/core/io/http_client.hpp
+++ b/source/core/io/http_client.hpp
@@ -11,9 +11,6 @@
 #include <string_view>
 #include <vector>
 
-struct evhttp_connection;
-struct evhttp_request;
-
 namespace kumquatgap::io
 {
 
@@ -27,18 +24,23 @@
     /// The connection was lost before the answer's end.
     cut,
     /// Nothing arrived for as long as the call allows.
-    silent
+    silent,
+    /// The peer sent bytes that are no answer.
+    malformed
 };
 
 /// What happens to an outgoing call. Any function may be empty.
 struct call_events
 {
     /// The status line and headers arrived.
-    std::function<void(const http_answer&)> on_head;
+    std::function<void(const http_answer&)> on_head = {};
     /// A part of the body arrived. When empty, the body is collected for on_end.
-    std::function<void(std::string_view)> on_data;
+    std::function<void(std::string_view)> on_data = {};
     /// The call ended; called exactly once unless the call was cancelled.
-    std::function<void(call_end, const http_answer&)> on_end;
+    std::function<void(call_end, const http_answer&)> on_end = {};
+    /// False for an answer that belongs to another request; it is skipped, and the connection is
+    /// not used again.
+    std::function<bool(const http_answer&)> is_own = {};
 };
 
 /// How an outgoing call is made.
@@ -49,9 +51,16 @@
     common::milliseconds silence_timeout{0};
     /// False for calls that must not repeat: these never use a kept connection.
     bool reuse_connection = true;
+    /// A kept connection is used only when it has been idle for less than this.
+    common::milliseconds longest_idle{60'000};
+    /// True when an answer without a length is whole once the peer ends the connection in order.
+    bool accept_unframed = false;
+    /// The longest body that is collected.
+    std::size_t most_body_bytes = std::size_t{64} << 20;
 };
 
 class http_client;
+class client_connection;
 
 /// One outgoing call. Destroying it cancels the call and closes its connection.
 class http_call
@@ -63,23 +72,23 @@
     http_call& operator=(const http_call&) = delete;
     ~http_call();
 
+    /// Stops reading from the peer, and goes on with it.
+    void pause_reading(bool on);
+    /// True once the call has a connection, so that the peer may have its bytes.
+    bool was_sent() const;
+
 private:
-    static int head_received(evhttp_request* request, void* arg);
-    static void data_received(evhttp_request* request, void* arg);
-    static void finished(evhttp_request* request, void* arg);
-    void send(const http_request& request);
+    friend class client_connection;
     void heard();
+    void take_head(int status, header_list headers);
+    bool take_body(std::string_view bytes);
     void end(call_end how);
-    void detach();
-    bool is_connected() const;
-    bool is_framed() const;
 
     http_client& m_client;
     std::string m_address;
     call_events m_events;
     call_options m_options;
-    evhttp_connection* m_connection;
-    evhttp_request* m_request = nullptr;
+    std::shared_ptr<client_connection> m_connection;
     http_answer m_answer;
     timer_handle m_connect_timer;
     timer_handle m_silence_timer;
@@ -88,8 +97,8 @@
 
 using call_handle = std::unique_ptr<http_call>;
 
-/// Makes outgoing calls by evhttp and keeps idle connections, each of which carries one call at a
-/// time and is closed after anything but a complete answer.
+/// Makes outgoing calls and keeps idle connections, each of which carries one call at a time and is
+/// closed after anything but a complete answer.
 class http_client
 {
 public:
@@ -101,15 +110,21 @@
     /// Sends a request to `ip:port`.
     [[nodiscard]] call_handle send(std::string address, const http_request& request,
                                    call_events events, call_options options = {});
+    /// Connections opened since the start.
+    std::uint64_t connections_opened() const { return m_opened; }
 
 private:
     friend class http_call;
-    evhttp_connection* take(const std::string& address, bool reuse);
-    void keep(const std::string& address, evhttp_connection* connection);
-    void close(evhttp_connection* connection);
+    friend class client_connection;
+    using connection_list = std::vector<std::shared_ptr<client_connection>>;
+
+    std::shared_ptr<client_connection> take(const std::string& address, const call_options& how);
+    void keep(const std::string& address, std::shared_ptr<client_connection> connection);
+    void forget(const client_connection* connection);
 
     event_loop& m_loop;
-    std::map<std::string, std::vector<evhttp_connection*>> m_idle;
+    std::map<std::string, connection_list> m_idle;
+    std::uint64_t m_opened = 0;
 };
 
 } // namespace kumquatgap::io
--- /dev/null
+++ b/source/core/io/http_codec.cpp
@@ -0,0 +1,224 @@
+#include "io/http_codec.hpp"
+
+#include "common/text.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace kumquatgap::io
+{
+
+namespace
+{
+
+/// Probes of an idle connection: the first after a second, then each second, and the connection is
+/// lost after three without an answer.
+constexpr int probe_after_s = 1;
+constexpr int probe_every_s = 1;
+constexpr int probes = 3;
+/// Sent bytes that stay unacknowledged for this long end the connection.
+constexpr int user_timeout_ms = 4000;
+/// The parser's own limit is off, since the owner of a reader knows a better one.
+constexpr std::uint32_t parser_head_limit = 0x7fffffff;
+
+constexpr std::string_view name_symbols = "!#$%&'*+-.^_`|~";
+
+bool is_name_byte(char c)
+{
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           name_symbols.find(c) != std::string_view::npos;
+}
+
+/// Control bytes have no place in a value; bytes above ASCII pass unread.
+bool is_value_byte(char c)
+{
+    constexpr unsigned char del = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return c == '\t' || (byte >= ' ' && byte != del);
+}
+
+/// True for a response that only the end of its connection ends.
+bool needs_end_of_connection(const http_parser& p)
+{
+    constexpr int first_final_status = 200;
+    const int status = p.status_code;
+    const bool has_body = status >= first_final_status && status != HTTP_STATUS_NO_CONTENT &&
+                          status != HTTP_STATUS_NOT_MODIFIED;
+    return has_body && (p.flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0;
+}
+
+http_reader& reader_of(http_parser* p)
+{
+    return *static_cast<http_reader*>(p->data);
+}
+
+} // namespace
+
+const http_parser_settings& http_reader::settings()
+{
+    static const http_parser_settings s_settings = []
+    {
+        http_parser_set_max_header_size(parser_head_limit);
+        http_parser_settings s;
+        http_parser_settings_init(&s);
+        s.on_message_begin = &http_reader::begin;
+        s.on_url = &http_reader::url_part;
+        s.on_header_field = &http_reader::field_part;
+        s.on_header_value = &http_reader::value_part;
+        s.on_headers_complete = &http_reader::head_done;
+        s.on_body = &http_reader::body_part;
+        s.on_message_complete = &http_reader::message_done;
+        return s;
+    }();
+    return s_settings;
+}
+
+http_reader::http_reader(http_parser_type type, message_handler& handler) : m_handler{handler}
+{
+    http_parser_init(&m_parser, type);
+    m_parser.data = this;
+}
+
+std::size_t http_reader::feed(std::string_view bytes)
+{
+    return http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
+}
+
+void http_reader::feed_end()
+{
+    http_parser_execute(&m_parser, &settings(), nullptr, 0);
+}
+
+bool http_reader::has_failed() const
+{
+    const auto ec = HTTP_PARSER_ERRNO(&m_parser);
+    return (ec != HPE_OK && ec != HPE_PAUSED) || m_parser.upgrade != 0;
+}
+
+std::string http_reader::error_text() const
+{
+    return http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
+}
+
+std::string http_reader::method() const
+{
+    return http_method_str(static_cast<http_method>(m_parser.method));
+}
+
+int http_reader::begin(http_parser* p)
+{
+    auto& it = reader_of(p);
+    it.m_headers = {};
+    it.m_url.clear();
+    it.m_field.clear();
+    it.m_value.clear();
+    it.m_in_value = false;
+    it.m_malformed_field = false;
+    it.m_head_bytes = 0;
+    it.m_content_length = no_length;
+    return it.m_handler.on_begin() ? 0 : 1;
+}
+
+int http_reader::url_part(http_parser* p, const char* at, std::size_t n)
+{
+    auto& it = reader_of(p);
+    it.m_url.append(at, n);
+    it.m_head_bytes += n;
+    return 0;
+}
+
+int http_reader::field_part(http_parser* p, const char* at, std::size_t n)
+{
+    auto& it = reader_of(p);
+    if (it.m_in_value)
+        it.end_field();
+    it.m_field.append(at, n);
+    it.m_head_bytes += n;
+    return 0;
+}
+
+int http_reader::value_part(http_parser* p, const char* at, std::size_t n)
+{
+    auto& it = reader_of(p);
+    it.m_in_value = true;
+    it.m_value.append(at, n);
+    it.m_head_bytes += n;
+    return 0;
+}
+
+void http_reader::end_field()
+{
+    // The packaged parser is built lenient, and takes names and values that RFC 9110 forbids.
+    m_malformed_field = m_malformed_field || !std::ranges::all_of(m_field, is_name_byte) ||
+                        !std::ranges::all_of(m_value, is_value_byte);
+    if (!m_field.empty())
+        m_headers.add(std::move(m_field), std::move(m_value));
+    m_field.clear();
+    m_value.clear();
+    m_in_value = false;
+}
+
+int http_reader::head_done(http_parser* p)
+{
+    constexpr int stop = -1;
+    constexpr int skip_body = 1;
+    auto& it = reader_of(p);
+    it.end_field();
+    it.m_content_length = (p->flags & F_CONTENTLENGTH) != 0 ? p->content_length : no_length;
+    it.m_keep_alive = http_should_keep_alive(p) != 0;
+    it.m_unframed = p->type == HTTP_RESPONSE && needs_end_of_connection(*p);
+    const bool is_bad_url = !std::ranges::all_of(
+        it.m_url, [](char c) { return c != ' ' && c != '\t' && is_value_byte(c); });
+    if (it.m_malformed_field || is_bad_url || !it.m_handler.on_head())
+        return stop;
+    return it.m_expect_no_body ? skip_body : 0;
+}
+
+int http_reader::body_part(http_parser* p, const char* at, std::size_t n)
+{
+    return reader_of(p).m_handler.on_body({at, n}) ? 0 : 1;
+}
+
+int http_reader::message_done(http_parser* p)
+{
+    auto& it = reader_of(p);
+    // Fields behind a body in chunks belong to the message's framing and are dropped.
+    it.m_field.clear();
+    it.m_value.clear();
+    it.m_in_value = false;
+    return it.m_handler.on_complete() ? 0 : 1;
+}
+
+void append_fields(std::string& out, const header_list& fields)
+{
+    for (const auto& [name, value] : fields)
+    {
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
+    }
+    out += "\r\n";
+}
+
+std::string to_chunk(std::string_view data)
+{
+    return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+void set_connection_options(int fd)
+{
+    const auto set = [fd](int level, int name, int value)
+    { ::setsockopt(fd, level, name, &value, sizeof value); };
+    set(IPPROTO_TCP, TCP_NODELAY, 1);
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probe_after_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probe_every_s);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+}
+
+} // namespace kumquatgap::io
--- a/source/core/platform/etcd_store.cpp
+++ b/source/core/kv/etcd_store.cpp
@@ -1,10 +1,10 @@
-#include "platform/etcd_store.hpp"
+#include "kv/etcd_store.hpp"
 
 #include "common/text.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace kumquatgap::platform
+namespace kumquatgap::kv
 {
 
 using common::failure;
@@ -347,4 +347,4 @@
     return std::make_unique<etcd_watch>(*this, prefix, from, std::move(events));
 }
 
-} // namespace kumquatgap::platform
+} // namespace kumquatgap::kv
--- a/source/core/platform/etcd_store.hpp
+++ b/source/core/kv/etcd_store.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "io/http_client.hpp"
-#include "platform/store.hpp"
+#include "kv/store.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
 #include <map>
 
-namespace kumquatgap::platform
+namespace kumquatgap::kv
 {
 
 /// How the store's adapter calls the service.
@@ -49,4 +49,4 @@
     std::uint64_t m_next_call = 0;
 };
 
-} // namespace kumquatgap::platform
+} // namespace kumquatgap::kv
--- a/source/core/platform/store.hpp
+++ b/source/core/kv/store.hpp
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace kumquatgap::platform
+namespace kumquatgap::kv
 {
 
 /// A revision of the platform's store; it grows with every write.
@@ -119,4 +119,4 @@
                                                watch_events events) = 0;
 };
 
-} // namespace kumquatgap::platform
+} // namespace kumquatgap::kv
--- a/source/core/ledger/attempt.cpp
+++ b/source/core/ledger/attempt.cpp
@@ -18,7 +18,7 @@
     return {current_write()};
 }
 
-actions attempt::written(const common::result<platform::write_answer>& answer, common::timestamp at)
+actions attempt::written(const common::result<kv::write_answer>& answer, common::timestamp at)
 {
     if (m_phase != phase::claiming && m_phase != phase::closing)
         return {};
@@ -35,7 +35,7 @@
     return {run_call{}};
 }
 
-actions attempt::closed(const common::result<platform::write_answer>& answer)
+actions attempt::closed(const common::result<kv::write_answer>& answer)
 {
     actions out;
     // Whatever became of the write, this attempt never runs; the caller waits no longer.
@@ -49,7 +49,7 @@
 }
 
 /// The key is not at the expected revision.
-actions attempt::claim_refused(const platform::write_answer& answer)
+actions attempt::claim_refused(const kv::write_answer& answer)
 {
     const auto& current = answer.current.at(0);
     if (!current)
@@ -72,7 +72,7 @@
     return claim_meets(*found, current->modified);
 }
 
-actions attempt::claim_meets(const record& found, platform::revision at_revision)
+actions attempt::claim_meets(const record& found, kv::revision at_revision)
 {
     if (found.state == record_state::withdrawn)
     {
@@ -100,7 +100,7 @@
 }
 
 /// The claim of a withdrawn call was answered: free the key if the claim has taken it.
-actions attempt::withdrawn_claim(const common::result<platform::write_answer>& answer)
+actions attempt::withdrawn_claim(const common::result<kv::write_answer>& answer)
 {
     if (answer && answer.value().applied)
         m_expected = answer.value().as_of;
@@ -120,7 +120,7 @@
 }
 
 /// The record did not have the expected revision when it was to be closed.
-actions attempt::close_refused(const platform::write_answer& answer)
+actions attempt::close_refused(const kv::write_answer& answer)
 {
     const auto& current = answer.current.at(0);
     if (!current)
--- a/source/core/ledger/attempt.hpp
+++ b/source/core/ledger/attempt.hpp
@@ -2,8 +2,8 @@
 
 #include "common/clock.hpp"
 #include "common/failure.hpp"
+#include "kv/store.hpp"
 #include "ledger/record.hpp"
-#include "platform/store.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -16,7 +16,7 @@
 /// Write this record while the key is at the expected revision, then call written().
 struct write_record
 {
-    platform::revision expected = 0;
+    kv::revision expected = 0;
     record value;
 };
 
@@ -79,7 +79,7 @@
     /// Starts the attempt.
     actions begin(common::timestamp at);
     /// The store has answered the last write.
-    actions written(const common::result<platform::write_answer>& answer, common::timestamp at);
+    actions written(const common::result<kv::write_answer>& answer, common::timestamp at);
     /// The target has answered.
     actions answered(kept_answer answer);
     /// The call could not be handed over: the target never saw it. The caller is refused once the
@@ -103,12 +103,12 @@
         finished
     };
 
-    actions claim_refused(const platform::write_answer& answer);
-    actions claim_meets(const record& found, platform::revision at_revision);
+    actions claim_refused(const kv::write_answer& answer);
+    actions claim_meets(const record& found, kv::revision at_revision);
     actions claim_uncertain(const common::failure& why, common::timestamp at);
-    actions withdrawn_claim(const common::result<platform::write_answer>& answer);
-    actions closed(const common::result<platform::write_answer>& answer);
-    actions close_refused(const platform::write_answer& answer);
+    actions withdrawn_claim(const common::result<kv::write_answer>& answer);
+    actions closed(const common::result<kv::write_answer>& answer);
+    actions close_refused(const kv::write_answer& answer);
     actions give_up(common::failure why);
     actions close(record_state state, std::optional<kept_answer> answer);
     actions finish(action last);
@@ -117,7 +117,7 @@
     record m_record;
     attempt_options m_options;
     phase m_phase = phase::claiming;
-    platform::revision m_expected = 0;
+    kv::revision m_expected = 0;
     common::timestamp m_begun;
     bool m_withdrawn = false;
     /// What the caller is told when the record is closed.
--- a/source/core/membership/message.cpp
+++ b/source/core/membership/message.cpp
@@ -82,7 +82,7 @@
     return names[m.index()];
 }
 
-platform::revision revision_of(const message& m)
+kv::revision revision_of(const message& m)
 {
     if (const auto* d = std::get_if<delta_message>(&m))
         return d->changes.to;
--- a/source/core/membership/message.hpp
+++ b/source/core/membership/message.hpp
@@ -24,8 +24,8 @@
 {
     std::string name;
     std::string address;
-    platform::revision as_of = 0;
-    platform::revision last_change = 0;
+    kv::revision as_of = 0;
+    kv::revision last_change = 0;
     std::vector<watcher> watchers;
 };
 
@@ -38,8 +38,8 @@
 /// Everything, for a peer that is too far behind for a delta.
 struct snapshot_message
 {
-    platform::revision as_of = 0;
-    std::vector<platform::key_value> items;
+    kv::revision as_of = 0;
+    std::vector<kv::key_value> items;
 };
 
 using message = std::variant<digest, delta_message, snapshot_message>;
@@ -47,7 +47,7 @@
 /// The kind of a message, for logs.
 std::string_view name_of(const message& m);
 /// The revision that a message leads to.
-platform::revision revision_of(const message& m);
+kv::revision revision_of(const message& m);
 
 /// The message in CBOR, with the deployment's token.
 std::string to_bytes(const message& m, std::string_view token);
--- a/source/core/membership/spreader.cpp
+++ b/source/core/membership/spreader.cpp
@@ -115,7 +115,7 @@
     return out;
 }
 
-actions spreader::store_read(const platform::range_answer& answer, timestamp now)
+actions spreader::store_read(const kv::range_answer& answer, timestamp now)
 {
     m_reading = false;
     actions out;
--- a/source/core/membership/spreader.hpp
+++ b/source/core/membership/spreader.hpp
@@ -72,7 +72,7 @@
 /// How far a data centre's processes are.
 struct in_force_report
 {
-    platform::revision lowest = 0;
+    kv::revision lowest = 0;
     std::size_t hosts = 0;
     std::vector<std::string> behind;
 };
@@ -92,7 +92,7 @@
     /// To be called every period.
     actions tick(timestamp now);
     actions received(const message& m, timestamp now);
-    actions store_read(const platform::range_answer& answer, timestamp now);
+    actions store_read(const kv::range_answer& answer, timestamp now);
     actions store_failed(timestamp now);
     actions store_changed(const config::delta& d, timestamp now);
     /// The store has answered, with nothing new: the watch is alive.
@@ -133,7 +133,7 @@
     /// Names in the order of succession as watchers.
     std::vector<std::string> m_succession;
     std::map<std::string, heard_watcher> m_watchers;
-    std::map<std::string, platform::revision> m_peer_revisions;
+    std::map<std::string, kv::revision> m_peer_revisions;
     bool m_watching = false;
     bool m_reading = false;
     bool m_regressed = false;
--- /dev/null
+++ b/source/core/policy/waiting_line.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "common/clock.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace kumquatgap::policy
+{
+
+using common::milliseconds;
+using common::timestamp;
+
+/// A call that waits for a place at a target.
+struct waiting_call
+{
+    std::uint64_t id = 0;
+    /// 0 is served first.
+    int priority = 0;
+    timestamp arrived;
+    /// A call that starts by then is answered in time.
+    timestamp in_time_until;
+    /// Nothing can be served after this.
+    timestamp deadline;
+};
+
+/// The limits of a line.
+struct waiting_line_options
+{
+    /// The part of its time, from arrival to deadline, that a call may wait.
+    double longest_wait_part = 0.35;
+    /// A call is refused on arrival when the calls before it would take this part of its time.
+    double refused_wait_part = 0.25;
+    /// The span over which starts are counted to predict waits.
+    milliseconds rate_window{2000};
+    /// Starts a second that are assumed before any were counted.
+    double least_rate = 4;
+    /// The bounds of the time after which a refused caller is asked to come back.
+    milliseconds shortest_retry_after{300};
+    milliseconds longest_retry_after{2500};
+};
+
+/// Calls that wait at this router for a place at one service. Load pattern: a crest of some seconds
+/// above what the targets can do. Those that can still be answered in time go first, the more
+/// urgent kind before the other and then by the time they have left; whoever has missed its time
+/// is served from what remains, the oldest first, so that a crest delays some calls and not all.
+/// What could only be served too late for its caller is refused on arrival.
+class waiting_line
+{
+public:
+    explicit waiting_line(waiting_line_options options) : m_options{options} {}
+
+    /// Takes a call, or returns the time after which its caller is to come back. `draw` is a
+    /// random number from 0 to below 1 that spreads the returns.
+    std::optional<milliseconds> offer(const waiting_call& call, timestamp now, double draw);
+    /// Puts a call back that was refused by a target without having run.
+    void put_back(const waiting_call& call) { m_calls.insert_or_assign(call.id, call); }
+    /// The call that is to start next; it stays in the line.
+    std::optional<std::uint64_t> next(timestamp now) const;
+    /// The call has started.
+    void started(std::uint64_t id, timestamp now);
+    void remove(std::uint64_t id) { m_calls.erase(id); }
+    /// Calls that have waited too long to be served; they leave the line.
+    std::vector<std::uint64_t> take_expired(timestamp now);
+    /// When a caller that is refused now is to come back.
+    milliseconds retry_after(timestamp now, double draw) const;
+
+    std::size_t size() const { return m_calls.size(); }
+    bool empty() const { return m_calls.empty(); }
+    /// Starts a second in the last window.
+    double start_rate(timestamp now) const;
+
+private:
+    bool goes_before(const waiting_call& a, const waiting_call& b, timestamp now) const;
+
+    waiting_line_options m_options;
+    std::map<std::uint64_t, waiting_call> m_calls;
+    std::deque<timestamp> m_starts;
+};
+
+} // namespace kumquatgap::policy
--- a/source/core/shell/config_follower.cpp
+++ b/source/core/shell/config_follower.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-config_follower::config_follower(io::event_loop& loop, platform::store& source,
+config_follower::config_follower(io::event_loop& loop, kv::store& source,
                                  const common_settings& settings)
     : m_loop{loop}, m_store{source}, m_settings{settings},
       m_spreader{{settings.host, settings.control_address},
@@ -131,7 +131,7 @@
 void config_follower::take(const membership::stop_watch& /*it*/)
 {
     // The watch may be inside one of its own functions.
-    m_loop.defer([old = std::shared_ptr<platform::watch>{std::move(m_watch)}] {});
+    m_loop.defer([old = std::shared_ptr<kv::watch>{std::move(m_watch)}] {});
 }
 
 void config_follower::receive(std::string_view bytes)
--- a/source/core/shell/config_follower.hpp
+++ b/source/core/shell/config_follower.hpp
@@ -3,8 +3,8 @@
 #include "config/view.hpp"
 #include "io/control_bus.hpp"
 #include "io/event_loop.hpp"
+#include "kv/store.hpp"
 #include "membership/spreader.hpp"
-#include "platform/store.hpp"
 #include "shell/program.hpp"
 
 #include <functional>
@@ -20,7 +20,7 @@
 class config_follower
 {
 public:
-    config_follower(io::event_loop& loop, platform::store& source, const common_settings& settings);
+    config_follower(io::event_loop& loop, kv::store& source, const common_settings& settings);
 
     /// Starts to follow; false when the control address can't be had.
     bool start();
@@ -47,7 +47,7 @@
     void write_status();
 
     io::event_loop& m_loop;
-    platform::store& m_store;
+    kv::store& m_store;
     common_settings m_settings;
     membership::spreader m_spreader;
     io::control_bus m_bus;
@@ -55,7 +55,7 @@
     std::uint64_t m_seen_version = 0;
     std::shared_ptr<const config::view> m_view = std::make_shared<config::view>();
     std::function<void()> m_on_change;
-    std::unique_ptr<platform::watch> m_watch;
+    std::unique_ptr<kv::watch> m_watch;
     io::timer_handle m_tick_timer;
     io::timer_handle m_head_timer;
     io::timer_handle m_status_timer;
--- a/source/core/shell/ledger_writer.cpp
+++ b/source/core/shell/ledger_writer.cpp
@@ -15,15 +15,14 @@
 
 } // namespace
 
-ledger_writer::ledger_writer(io::event_loop& loop, platform::store& target,
-                             ledger_writer_options options)
+ledger_writer::ledger_writer(io::event_loop& loop, kv::store& target, ledger_writer_options options)
     : m_loop{loop}, m_store{target}, m_options{options}
 {
 }
 
-void ledger_writer::write(std::string key, platform::revision expected, std::string value, done fn)
+void ledger_writer::write(std::string key, kv::revision expected, std::string value, done fn)
 {
-    platform::transaction it;
+    kv::transaction it;
     it.guards.push_back({key, expected});
     it.writes.push_back({std::move(key), std::move(value), 0});
     m_pending.push_back({std::move(it), std::move(fn)});
@@ -44,7 +43,7 @@
 void ledger_writer::renew_lease()
 {
     m_store.grant_lease(m_options.retention + lease_use,
-                        [this](const common::result<platform::lease_id>& answer)
+                        [this](const common::result<kv::lease_id>& answer)
                         {
                             if (!answer)
                                 return fail_all(answer.error());
@@ -68,7 +67,7 @@
     std::vector<pending> batch{std::make_move_iterator(m_pending.begin()),
                                std::make_move_iterator(end)};
     m_pending.erase(m_pending.begin(), end);
-    std::vector<platform::transaction> writes;
+    std::vector<kv::transaction> writes;
     for (auto& it : batch)
     {
         it.write.writes.front().lease = m_lease;
@@ -79,7 +78,7 @@
 }
 
 void ledger_writer::finish(std::vector<pending> batch,
-                           const common::result<std::vector<platform::write_answer>>& answer)
+                           const common::result<std::vector<kv::write_answer>>& answer)
 {
     m_flush_timer = m_loop.after(m_options.period,
                                  [this]
--- a/source/core/shell/ledger_writer.hpp
+++ b/source/core/shell/ledger_writer.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "io/event_loop.hpp"
-#include "platform/store.hpp"
+#include "kv/store.hpp"
 
 #include <functional>
 #include <optional>
@@ -25,17 +25,17 @@
 class ledger_writer
 {
 public:
-    using done = std::function<void(const common::result<platform::write_answer>&)>;
+    using done = std::function<void(const common::result<kv::write_answer>&)>;
 
-    ledger_writer(io::event_loop& loop, platform::store& target, ledger_writer_options options);
+    ledger_writer(io::event_loop& loop, kv::store& target, ledger_writer_options options);
 
     /// Writes a record while its key is at the expected revision.
-    void write(std::string key, platform::revision expected, std::string value, done fn);
+    void write(std::string key, kv::revision expected, std::string value, done fn);
 
 private:
     struct pending
     {
-        platform::transaction write;
+        kv::transaction write;
         done fn;
     };
 
@@ -44,16 +44,16 @@
     void renew_lease();
     void fail_all(const common::failure& why);
     void finish(std::vector<pending> batch,
-                const common::result<std::vector<platform::write_answer>>& answer);
+                const common::result<std::vector<kv::write_answer>>& answer);
 
     io::event_loop& m_loop;
-    platform::store& m_store;
+    kv::store& m_store;
     ledger_writer_options m_options;
     std::vector<pending> m_pending;
     bool m_busy = false;
     io::timer_handle m_flush_timer;
     /// Records live as long as this lease, which is never renewed but replaced in time.
-    platform::lease_id m_lease = 0;
+    kv::lease_id m_lease = 0;
     common::timestamp m_lease_replace_at;
 };
 
--- /dev/null
+++ b/source/gateway/gateway.cpp
@@ -0,0 +1,227 @@
+#include "gateway/gateway.hpp"
+
+#include "common/log.hpp"
+#include "gateway/exchange.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <ranges>
+
+namespace kumquatgap::gateway
+{
+
+namespace
+{
+
+/// How often waits, deadlines and stalls are looked at.
+constexpr milliseconds tick_period{25};
+/// New callers come until the balancer has missed two probes, and reuse open connections after
+/// that. Calls are refused once too little of the grace is left for them.
+constexpr double accepting_part_of_grace = 0.55;
+/// The process ends by then, whatever is open.
+constexpr double last_part_of_grace = 0.95;
+/// Connections may still come for this long after SIGTERM.
+constexpr milliseconds settle_time{2500};
+constexpr milliseconds idle_check_period{50};
+
+milliseconds part_of(milliseconds d, double part)
+{
+    return milliseconds{static_cast<std::int64_t>(static_cast<double>(d.count()) * part)};
+}
+
+io::http_limits to_http_limits(const fleet::caller_limits& it)
+{
+    return {it.body_bytes, it.header_bytes, it.header_timeout, it.idle_timeout};
+}
+
+} // namespace
+
+void add_settings(common::settings_schema& schema, gateway_settings& s)
+{
+    shell::add_common_settings(schema, s.common);
+    constexpr milliseconds longest{24 * 3600 * 1000};
+    constexpr double most = 1e6;
+    schema.add("gateway", "listen", common::address_setting{&s.listen});
+    schema.add("gateway", "ready_listen", common::address_setting{&s.ready_listen});
+    schema.add("gateway", "metrics_listen", common::address_setting{&s.metrics_listen, false});
+    schema.add("gateway", "grace_ms", common::duration_setting{&s.grace, milliseconds{1}, longest});
+    schema.add("retries", "ratio", common::decimal_setting{&s.retries.ratio, 0, most});
+    schema.add("retries", "extra", common::decimal_setting{&s.retries.extra, 0, most});
+    schema.add("retries", "window_ms",
+               common::duration_setting{&s.retries.window, milliseconds{1}, longest});
+}
+
+gateway::gateway(io::event_loop& loop, io::http_client& client, kv::store& store, const wire& names,
+                 gateway_settings settings)
+    : m_loop{loop}, m_client{client}, m_wire{names}, m_settings{std::move(settings)},
+      m_follower{loop, store, names, m_settings.common},
+      m_loads{loop, m_settings.common.host, m_settings.common.deployment_token,
+              [this](const std::string& peer, const load_exchange::loads& it)
+              {
+                  for (auto& state : m_services | std::views::values)
+                      state.board.heard(peer, it, common::now());
+              }},
+      m_retries{m_settings.retries}, m_server{loop,
+                                              {},
+                                              [this](io::received_request received,
+                                                     io::responder_ptr answer)
+                                              { handle(std::move(received), std::move(answer)); }},
+      m_admin{loop,
+              {},
+              [this](const io::received_request& received, const io::responder_ptr& answer)
+              { handle_admin(received, *answer); }}
+{
+}
+
+gateway::~gateway() = default;
+
+int gateway::run()
+{
+    m_server.set_malformed_answer(m_wire.failure_answer({common::result_code::bad_request, ""}));
+    const auto admin = [this](const io::received_request& received, const io::responder_ptr& answer)
+    { handle_admin(received, *answer); };
+    m_metrics_server = std::make_unique<io::http_server>(m_loop, io::http_limits{}, admin);
+    const bool has_addresses = m_server.listen(m_settings.listen) &&
+                               m_admin.listen(m_settings.ready_listen) &&
+                               (m_settings.metrics_listen.empty() ||
+                                m_metrics_server->listen(m_settings.metrics_listen)) &&
+                               (m_settings.common.control_address.empty() ||
+                                m_loads.start(m_settings.common.control_address));
+    if (!has_addresses || !m_follower.start())
+    {
+        common::log(common::log_level::error, "no_address", {{"address", m_settings.listen}});
+        return shell::exit_no_address;
+    }
+    m_loop.on_signal(SIGTERM, [this] { begin_shutdown(); });
+    m_loop.on_signal(SIGINT, [this] { begin_shutdown(); });
+    m_loop.on_signal(SIGHUP, [] { common::log(common::log_level::info, "reload_asked"); });
+    m_follower.on_change([this] { state_changed(); });
+    m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
+    common::log(common::log_level::info, "started", {{"address", m_settings.listen}});
+    m_loop.run();
+    common::log(common::log_level::info, "stopped",
+                {{"open_calls", static_cast<std::int64_t>(m_exchanges.size())}});
+    return 0;
+}
+
+bool gateway::is_ready() const
+{
+    return !m_shutting_down && m_follower.configuration() != nullptr;
+}
+
+void gateway::handle_admin(const io::received_request& received, io::responder& answer)
+{
+    m_metrics.set("kqg_open_calls", static_cast<std::int64_t>(m_exchanges.size()));
+    m_metrics.set("kqg_target_connections",
+                  static_cast<std::int64_t>(m_client.connections_opened()));
+    m_follower.write_metrics(m_metrics);
+    if (!shell::answer_admin_request(received.request, answer, is_ready(), m_metrics))
+        answer.reply(m_wire.failure_answer({common::result_code::not_found, ""}));
+}
+
+void gateway::handle(io::received_request received, io::responder_ptr answer)
+{
+    const auto id = m_next_exchange++;
+    auto it = std::make_shared<exchange>(*this, id, std::move(received), std::move(answer));
+    m_exchanges.emplace(id, it);
+    it->start();
+}
+
+void gateway::remove(const exchange& it)
+{
+    // The exchange may be inside one of its own functions.
+    m_loop.defer([this, id = it.number()] { m_exchanges.erase(id); });
+}
+
+/// The target that takes the call now; empty when it has to wait.
+std::string gateway::place(const std::string& name, service_state& state, const exchange& it,
+                           timestamp now)
+{
+    std::vector<policy::placement_candidate> candidates;
+    for (const auto* t : targets().usable(name, now))
+        candidates.push_back({t->id, static_cast<double>(t->slots),
+                              t->data_centre == m_settings.common.data_centre ? 0 : 1});
+    return state.board.pick(candidates, it.tried(), now);
+}
+
+void gateway::dispatch(const std::string& name)
+{
+    auto& state = m_services[name];
+    const auto now = common::now();
+    while (now >= state.held_until)
+    {
+        if (state.is_suspect && !state.board.own_loads().empty())
+            return;
+        const auto id = state.line.next(now);
+        if (!id)
+            return;
+        const auto found = m_exchanges.find(*id);
+        if (found == m_exchanges.end())
+        {
+            state.line.remove(*id);
+            continue;
+        }
+        const auto it = found->second;
+        const auto target = place(name, state, *it, now);
+        if (target.empty())
+            return;
+        state.line.started(*id, now);
+        it->send_to(*targets().find_usable(target, now));
+    }
+}
+
+void gateway::tick()
+{
+    const auto now = common::now();
+    for (auto& [name, state] : m_services)
+    {
+        for (const auto id : state.line.take_expired(now))
+        {
+            if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
+                it->second->waited_too_long();
+        }
+        if (!state.line.empty())
+            dispatch(name);
+    }
+    const auto open = m_exchanges;
+    for (const auto& it : open | std::views::values)
+        it->check_time(now);
+    load_exchange::loads own;
+    for (const auto& state : m_services | std::views::values)
+        own.insert(state.board.own_loads().begin(), state.board.own_loads().end());
+    m_loads.send(m_follower.peers(), own, now);
+}
+
+void gateway::state_changed()
+{
+    m_retries.set_routers(m_follower.peers().size() + 1);
+    if (const auto c = configuration())
+        m_server.set_limits(to_http_limits(c->limits));
+    for (const auto& [name, state] : m_services)
+    {
+        if (!state.line.empty())
+            dispatch(name);
+    }
+}
+
+void gateway::begin_shutdown()
+{
+    if (std::exchange(m_shutting_down, true))
+        return;
+    m_term_at = common::now();
+    common::log(common::log_level::info, "shutdown_begun",
+                {{"open_calls", static_cast<std::int64_t>(m_exchanges.size())}});
+    m_server.close_after_replies();
+    m_idle_timer = m_loop.every(idle_check_period, [this] { finish_when_idle(); });
+}
+
+void gateway::finish_when_idle()
+{
+    const auto passed = common::now() - m_term_at;
+    m_refuses_calls = passed > part_of(m_settings.grace, accepting_part_of_grace);
+    const bool is_idle = m_exchanges.empty() && m_server.open_connections() == 0;
+    if ((is_idle && passed > settle_time) || passed > part_of(m_settings.grace, last_part_of_grace))
+        m_loop.stop();
+}
+
+} // namespace kumquatgap::gateway
--- /dev/null
+++ b/source/gateway/gateway.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "common/metrics.hpp"
+#include "fleet/configuration.hpp"
+#include "fleet/target_table.hpp"
+#include "gateway/load_exchange.hpp"
+#include "gateway/state_follower.hpp"
+#include "gateway/wire.hpp"
+#include "io/event_loop.hpp"
+#include "io/http_client.hpp"
+#include "io/http_server.hpp"
+#include "policy/retry_share.hpp"
+#include "policy/target_board.hpp"
+#include "policy/waiting_line.hpp"
+#include "shell/program.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace kumquatgap::gateway
+{
+
+using common::timestamp;
+
+/// The gateway's settings.
+struct gateway_settings
+{
+    shell::common_settings common;
+    /// `ip:port` for callers.
+    std::string listen;
+    /// `ip:port` for readiness probes.
+    std::string ready_listen;
+    /// `ip:port` for metrics; none when empty.
+    std::string metrics_listen;
+    policy::retry_limits retries;
+    /// From SIGTERM to the kill.
+    milliseconds grace{8000};
+};
+
+/// Declares the gateway's settings.
+void add_settings(common::settings_schema& schema, gateway_settings& s);
+
+class exchange;
+
+/// What is kept for each service.
+struct service_state
+{
+    policy::waiting_line line{policy::waiting_line_options{}};
+    policy::target_board board{policy::target_board_options{}};
+    /// No call is placed before this, since the group of targets is broken.
+    timestamp held_until;
+    /// The group was broken, and no call has succeeded since; calls go one by one until one does.
+    bool is_suspect = false;
+    /// When any target of the service last sent an event or an answer.
+    timestamp last_progress;
+};
+
+/// Takes callers' requests and forwards them straight to targets.
+class gateway
+{
+public:
+    gateway(io::event_loop& loop, io::http_client& client, kv::store& store, const wire& names,
+            gateway_settings settings);
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+    ~gateway();
+
+    /// Runs until shut down; the result is the program's exit status.
+    int run();
+
+    io::event_loop& loop() { return m_loop; }
+    io::http_client& client() { return m_client; }
+    const wire& names() const { return m_wire; }
+    common::metrics& counters() { return m_metrics; }
+    policy::retry_share& retries() { return m_retries; }
+    const fleet::target_table& targets() const { return m_follower.targets(); }
+    std::shared_ptr<const fleet::configuration> configuration() const
+    {
+        return m_follower.configuration();
+    }
+    service_state& service(const std::string& name) { return m_services[name]; }
+    /// True once new calls are refused, so that the open ones can end before the process must.
+    bool refuses_calls() const { return m_refuses_calls; }
+    /// A random number from 0 to below 1.
+    double draw() { return std::uniform_real_distribution<double>{0, 1}(m_random); }
+    /// Starts the calls of a service that have a place now.
+    void dispatch(const std::string& name);
+    /// Forgets an exchange that has ended.
+    void remove(const exchange& it);
+
+private:
+    void handle(io::received_request received, io::responder_ptr answer);
+    void handle_admin(const io::received_request& received, io::responder& answer);
+    std::string place(const std::string& name, service_state& state, const exchange& it,
+                      timestamp now);
+    void tick();
+    void state_changed();
+    void begin_shutdown();
+    void finish_when_idle();
+    bool is_ready() const;
+
+    io::event_loop& m_loop;
+    io::http_client& m_client;
+    const wire& m_wire;
+    gateway_settings m_settings;
+    state_follower m_follower;
+    load_exchange m_loads;
+    policy::retry_share m_retries;
+    common::metrics m_metrics;
+    std::mt19937_64 m_random{std::random_device{}()};
+    std::map<std::string, service_state> m_services;
+    std::map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
+    std::uint64_t m_next_exchange = 1;
+    io::http_server m_server;
+    io::http_server m_admin;
+    std::unique_ptr<io::http_server> m_metrics_server;
+    timestamp m_term_at;
+    bool m_shutting_down = false;
+    bool m_refuses_calls = false;
+    io::timer_handle m_tick_timer;
+    io::timer_handle m_idle_timer;
+};
+
+} // namespace kumquatgap::gateway
--- /dev/null
+++ b/source/gateway/load_exchange.cpp
@@ -0,0 +1,63 @@
+#include "gateway/load_exchange.hpp"
+
+#include "common/log.hpp"
+#include "common/result_code.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace kumquatgap::gateway
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+/// Unchanged loads are told again before the others take them for old.
+constexpr common::milliseconds repeat_after{500};
+
+} // namespace
+
+load_exchange::load_exchange(io::event_loop& loop, std::string name, std::string token, handler fn)
+    : m_name{std::move(name)}, m_token{std::move(token)}, m_handler{std::move(fn)},
+      m_socket{loop, [this](std::string_view bytes) { receive(bytes); }}
+{
+}
+
+bool load_exchange::start(const std::string& address)
+{
+    return m_socket.listen(address);
+}
+
+void load_exchange::send(const std::vector<membership::peer>& to, const loads& own,
+                         common::timestamp now)
+{
+    if (own == m_last_sent && (own.empty() || now - m_sent_at < repeat_after))
+        return;
+    m_last_sent = own;
+    m_sent_at = now;
+    const json message = {{"token", m_token}, {"name", m_name}, {"loads", own}};
+    const auto bytes = json::to_cbor(message);
+    for (const auto& it : to)
+        m_socket.send(it.address, {reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+}
+
+void load_exchange::receive(std::string_view bytes)
+{
+    const auto message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    try
+    {
+        if (!message.is_discarded() && message.at("token") == m_token)
+            return m_handler(message.at("name"), message.at("loads").get<loads>());
+    }
+    catch (const json::exception& e)
+    {
+        common::log(common::log_level::debug, "load_message_malformed", {{"reason", e.what()}});
+    }
+    common::log(common::log_level::warn, "load_message_refused",
+                {{"code", common::number(common::result_code::bad_message)}});
+}
+
+} // namespace kumquatgap::gateway
--- /dev/null
+++ b/source/gateway/load_exchange.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "io/datagram_socket.hpp"
+#include "io/event_loop.hpp"
+#include "membership/spreader.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kumquatgap::gateway
+{
+
+/// Tells the other gateways how much work this one has at each target, and hears it from them.
+/// Only changes are worth a message, so an idle gateway sends none.
+class load_exchange
+{
+public:
+    using loads = std::map<std::string, double>;
+    using handler = std::function<void(const std::string& gateway, loads)>;
+
+    load_exchange(io::event_loop& loop, std::string name, std::string token, handler fn);
+
+    /// Receives on `ip:port`, and sends by it; false when the address can't be had.
+    bool start(const std::string& address);
+    /// Sends the loads when they have changed since the last message, or when that is long ago.
+    void send(const std::vector<membership::peer>& to, const loads& own, common::timestamp now);
+    std::uint64_t bytes() const { return m_socket.bytes(); }
+
+private:
+    void receive(std::string_view bytes);
+
+    std::string m_name;
+    std::string m_token;
+    handler m_handler;
+    io::datagram_socket m_socket;
+    loads m_last_sent;
+    common::timestamp m_sent_at;
+};
+
+} // namespace kumquatgap::gateway
--- a/source/router/router.hpp
+++ b/source/router/router.hpp
@@ -4,7 +4,7 @@
 #include "filters/request_filters.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
-#include "platform/etcd_store.hpp"
+#include "kv/etcd_store.hpp"
 #include "policy/call_plan.hpp"
 #include "policy/picker.hpp"
 #include "shell/config_follower.hpp"
@@ -76,7 +76,7 @@
     router_settings m_settings;
     io::event_loop m_loop;
     io::http_client m_client;
-    platform::etcd_store m_store;
+    kv::etcd_store m_store;
     shell::config_follower m_follower;
     policy::picker m_picker{policy::picker_options{}};
     policy::retry_budget m_retries;
--- a/source/unit_tests/config/fuzz_resource_write.cpp
+++ b/source/unit_tests/config/fuzz_resource_write.cpp
@@ -103,7 +103,7 @@
 
     static std::string share_name(std::uint32_t n) { return common::concat("share-", n); }
 
-    platform::revision version_of(const std::string& name) const
+    kv::revision version_of(const std::string& name) const
     {
         const auto found = m_store.get(key_of(kind::share, name));
         return found ? found->modified : 0;
@@ -149,7 +149,7 @@
         if (auto* it = choose<read_resources>(a))
             go_on(*it, it->state.resources_read(m_store.range(std::string{"/kqg/"}), m_now));
     }
-    platform::write_answer carry_out(const operation& it)
+    kv::write_answer carry_out(const operation& it)
     {
         auto what = std::get<write_transaction>(it.next).what;
         if (m_broken == mutation::no_head_guard)
--- a/source/unit_tests/fake_store.hpp
+++ b/source/unit_tests/fake_store.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store.hpp"
+#include "kv/store.hpp"
 
 #include <algorithm>
 #include <map>
@@ -17,14 +17,14 @@
     /// A deliberately broken store that takes every write; shows that a model sees it.
     bool ignores_guards = false;
 
-    platform::write_answer write(const platform::transaction& it)
+    kv::write_answer write(const kv::transaction& it)
     {
         const bool holds =
             ignores_guards ||
             std::ranges::all_of(it.guards, [&](const auto& g) { return at(g.key) == g.expected; });
         if (!holds)
         {
-            platform::write_answer out{false, m_revision, {}};
+            kv::write_answer out{false, m_revision, {}};
             for (const auto& g : it.guards)
                 out.current.push_back(get(g.key));
             return out;
@@ -41,15 +41,15 @@
         return {true, m_revision, {}};
     }
 
-    std::optional<platform::key_value> get(const std::string& key) const
+    std::optional<kv::key_value> get(const std::string& key) const
     {
         const auto it = m_items.find(key);
         return it == m_items.end() ? std::nullopt : std::optional{it->second};
     }
 
-    platform::range_answer range(const std::string& prefix) const
+    kv::range_answer range(const std::string& prefix) const
     {
-        platform::range_answer out{m_revision, {}};
+        kv::range_answer out{m_revision, {}};
         for (const auto& [key, it] : m_items)
         {
             if (key.starts_with(prefix))
@@ -59,26 +59,26 @@
     }
 
     /// The changes after a revision.
-    std::vector<platform::change> changes_after(platform::revision from) const
+    std::vector<kv::change> changes_after(kv::revision from) const
     {
-        std::vector<platform::change> out;
+        std::vector<kv::change> out;
         std::ranges::copy_if(m_history, std::back_inserter(out),
                              [=](const auto& it) { return it.modified > from; });
         return out;
     }
 
-    platform::revision revision() const { return m_revision; }
+    kv::revision revision() const { return m_revision; }
 
 private:
-    platform::revision at(const std::string& key) const
+    kv::revision at(const std::string& key) const
     {
         const auto it = m_items.find(key);
         return it == m_items.end() ? 0 : it->second.modified;
     }
 
-    platform::revision m_revision = 1;
-    std::map<std::string, platform::key_value> m_items;
-    std::vector<platform::change> m_history;
+    kv::revision m_revision = 1;
+    std::map<std::string, kv::key_value> m_items;
+    std::vector<kv::change> m_history;
 };
 
 } // namespace kumquatgap::fuzz
--- a/source/unit_tests/ledger/fuzz_ledger.cpp
+++ b/source/unit_tests/ledger/fuzz_ledger.cpp
@@ -109,8 +109,8 @@
     struct request
     {
         std::size_t attempt = 0;
-        platform::transaction write;
-        std::optional<platform::write_answer> result;
+        kv::transaction write;
+        std::optional<kv::write_answer> result;
         bool agent_waits = true;
     };
 
@@ -136,7 +136,7 @@
     }
     void take(std::size_t n, const ledger::write_record& it)
     {
-        platform::transaction write;
+        kv::transaction write;
         write.guards.push_back({store_key(m_attempts[n].key), it.expected});
         write.writes.push_back({store_key(m_attempts[n].key), ledger::to_stored(it.value), 0});
         m_requests.push_back({n, std::move(write), std::nullopt, true});
@@ -202,7 +202,7 @@
         it->agent_waits = false;
         const auto n = it->attempt;
         if (m_broken == mutation::lost_answer_means_yes)
-            return tell(n, platform::write_answer{true, m_store.revision(), {}});
+            return tell(n, kv::write_answer{true, m_store.revision(), {}});
         if (m_broken == mutation::lost_answer_means_no && !m_attempts[n].said_not_run)
         {
             m_attempts[n].said_not_run = true;
@@ -220,7 +220,7 @@
         m_requests.erase(it);
         tell(n, common::failure{result_code::store_unavailable, ""});
     }
-    void tell(std::size_t n, const common::result<platform::write_answer>& answer)
+    void tell(std::size_t n, const common::result<kv::write_answer>& answer)
     {
         if (m_attempts[n].alive)
             carry_out(n, m_attempts[n].state.written(answer, m_now));
--- a/source/unit_tests/membership/fuzz_spreader.cpp
+++ b/source/unit_tests/membership/fuzz_spreader.cpp
@@ -127,8 +127,8 @@
         bool reads = false;
         bool watches = false;
         bool is_dead = false;
-        std::optional<platform::range_answer> late_answer = std::nullopt;
-        platform::revision highest = 0;
+        std::optional<kv::range_answer> late_answer = std::nullopt;
+        kv::revision highest = 0;
     };
 
     static peer name_of(std::size_t n) { return {common::concat("host-", n), std::to_string(n)}; }
@@ -146,7 +146,7 @@
         return out;
     }
 
-    static bool same(const config::replica& copy, const std::vector<platform::key_value>& items)
+    static bool same(const config::replica& copy, const std::vector<kv::key_value>& items)
     {
         return std::ranges::equal(copy.items(), items,
                                   [](const auto& a, const auto& b) {
@@ -204,7 +204,7 @@
             carry_out(n, m_processes[n].state.received(sent.what, m_now));
     }
 
-    void answer_read(std::size_t n, const platform::range_answer& answer)
+    void answer_read(std::size_t n, const kv::range_answer& answer)
     {
         auto& it = m_processes[n];
         if (!std::exchange(it.reads, false))
@@ -238,7 +238,7 @@
         if (!it.watches || !m_store_is_up)
             return;
         const auto from = it.state.copy().as_of();
-        std::vector<platform::change> changes;
+        std::vector<kv::change> changes;
         for (const auto& c : m_store.changes_after(from))
             changes.push_back(c);
         if (m_broken == mutation::watches_start_late && changes.size() > 1)
@@ -301,7 +301,7 @@
     timestamp m_now{milliseconds{1'000'000}};
     std::vector<process> m_processes;
     std::deque<send_message> m_messages;
-    std::map<platform::revision, std::vector<platform::key_value>> m_states;
+    std::map<kv::revision, std::vector<kv::key_value>> m_states;
 };
 
 } // namespace
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -2,7 +2,7 @@
 # Installs what the build needs, when something is missing.
 set -euo pipefail
 packages=(cmake ninja-build g++ pkg-config curl make git
-  libevent-dev libevhtp-dev libnng-dev libabsl-dev libboost-dev libspdlog-dev libfmt-dev
+  libevent-dev libhttp-parser-dev libnng-dev libabsl-dev libboost-dev libspdlog-dev libfmt-dev
   libinih-dev nlohmann-json3-dev libxxhash-dev libcriterion-dev librapidcheck-dev libssl-dev
   clang-format clang-tidy)
 missing=()
