Follow demand with the expert map: an agent beside each rank, one of them in control

Found on the way: the count of accepted orders does not rise with orders on the map, so it fences nothing; each order now has a fencing token of its own (lease, directive, order). Ruled out: noise of the counts (5 to 10 million choices in the half-life); waiting for the lists of all ranks after a switch (0.6 to 0.9 s of each cycle), replaced by the map that was proposed.

--- /dev/null
+++ b/source/core/experts/agent_message.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "experts/switch_message.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace kumquatgap::experts
+{
+
+/// A rank's state, from its agent to the group's controller.
+struct status_message
+{
+    /// Where the agent takes directives.
+    std::string address;
+    rank_status status;
+};
+
+/// What a rank's requests chose since the last such message, and what the rank holds.
+struct choices_message
+{
+    std::int64_t epoch = 0;
+    rank_number rank = 0;
+    map_version version = 0;
+    /// By set and expert.
+    std::vector<std::vector<std::int64_t>> choices;
+    /// The rank's own experts by set, as of `version`.
+    std::vector<std::vector<int>> held;
+};
+
+/// What the controller wants, for an agent.
+struct directive_message
+{
+    directive what;
+};
+
+using agent_message = std::variant<status_message, choices_message, directive_message>;
+
+/// The message in CBOR, with the deployment's token.
+std::string to_bytes(const agent_message& m, std::string_view token);
+/// Reads a message; none when it is malformed or has another token.
+std::optional<agent_message> from_bytes(std::string_view bytes, std::string_view token);
+
+} // namespace kumquatgap::experts
--- /dev/null
+++ b/source/core/experts/switch_controller.cpp
@@ -0,0 +1,211 @@
+#include "experts/switch_controller.hpp"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace kumquatgap::experts
+{
+
+void switch_controller::take(const rank_status& s, timestamp now)
+{
+    const auto& r = s.report;
+    if (r.epoch < m_epoch)
+        return;
+    if (r.epoch > m_epoch)
+    {
+        // A new epoch starts with map 0 and without anything prepared, armed or held.
+        m_ranks.clear();
+        m_epoch = r.epoch;
+        abandon(now);
+    }
+    m_highest_version = std::max({m_highest_version, r.version, r.prepared});
+    m_ranks.insert_or_assign(r.rank, known_rank{s, now});
+    // An agent that started anew within this directive orders with fences that are used already.
+    if (s.was_fenced && has_seen_current(s))
+        ++m_directive.number;
+}
+
+std::size_t switch_controller::known_ranks(timestamp now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_ranks | std::views::values, [&](const known_rank& it)
+                              { return now - it.heard_at <= m_options.status_lifetime; }));
+}
+
+bool switch_controller::knows_all(timestamp now) const
+{
+    if (m_ranks.empty())
+        return false;
+    const auto size = m_ranks.begin()->second.status.report.size;
+    return std::cmp_equal(known_ranks(now), size) && std::cmp_equal(m_ranks.size(), size);
+}
+
+template <class F>
+bool switch_controller::all_ranks(timestamp now, F&& holds) const
+{
+    return knows_all(now) &&
+           std::ranges::all_of(m_ranks | std::views::values, [&](const known_rank& it)
+                               { return it.status.report.is_open && holds(it.status); });
+}
+
+bool switch_controller::has_seen_current(const rank_status& s) const
+{
+    return s.directive_token == m_directive.token && s.directive_number >= m_directive.number;
+}
+
+bool switch_controller::is_at_rest(timestamp now) const
+{
+    if (m_directive.phase != switch_phase::rest)
+        return false;
+    return all_ranks(now,
+                     [this](const rank_status& s)
+                     {
+                         const auto& r = s.report;
+                         return !r.armed && !r.held && r.version == version();
+                     });
+}
+
+map_version switch_controller::version() const
+{
+    return m_ranks.empty() ? 0 : m_ranks.begin()->second.status.report.version;
+}
+
+void switch_controller::enter(switch_phase phase, timestamp now)
+{
+    m_directive.phase = phase;
+    ++m_directive.number;
+    m_directive.epoch = m_epoch;
+    if (phase != switch_phase::prepare)
+        m_directive.map.reset();
+    m_phase_since = now;
+}
+
+void switch_controller::abandon(timestamp now)
+{
+    enter(switch_phase::rest, now);
+}
+
+bool switch_controller::propose(std::shared_ptr<const expert_map> map, timestamp now)
+{
+    if (!is_at_rest(now))
+        return false;
+    m_directive.version = ++m_highest_version;
+    m_directive.map = std::move(map);
+    enter(switch_phase::prepare, now);
+    return true;
+}
+
+/// A group that is found held was left by an earlier controller; its switch is undone.
+void switch_controller::look_for_remains(timestamp now)
+{
+    const auto ranks = m_ranks | std::views::values;
+    const auto holder = std::ranges::find_if(ranks, [](const known_rank& it)
+                                             { return it.status.report.held.has_value(); });
+    if (holder == ranks.end() || !knows_all(now))
+        return;
+    m_directive.holder = (*holder).status.report.rank;
+    m_directive.pass = *(*holder).status.report.held;
+    m_directive.version = 0;
+    for (const auto& it : ranks)
+    {
+        const auto& r = it.status.report;
+        m_directive.version =
+            std::max(m_directive.version, r.armed ? r.armed->version : r.prepared);
+    }
+    enter(switch_phase::disarm_holder, now);
+}
+
+void switch_controller::tick_prepare(timestamp now)
+{
+    const bool is_prepared =
+        all_ranks(now, [this](const rank_status& s)
+                  { return s.report.prepared == m_directive.version && s.is_settled; });
+    if (!is_prepared)
+    {
+        if (now - m_phase_since > m_options.longest_prepare)
+            abandon(now);
+        return;
+    }
+    const auto passes =
+        m_ranks | std::views::values |
+        std::views::transform([](const known_rank& it) { return it.status.report.pass; });
+    m_directive.pass = std::ranges::max(passes) + m_options.lead_passes;
+    m_directive.holder = m_ranks.begin()->first;
+    enter(switch_phase::hold, now);
+}
+
+void switch_controller::tick_hold(timestamp now)
+{
+    const auto it = m_ranks.find(m_directive.holder);
+    const bool is_held = it != m_ranks.end() && has_seen_current(it->second.status) &&
+                         it->second.status.is_settled &&
+                         it->second.status.report.held == m_directive.pass;
+    if (is_held)
+        return enter(switch_phase::arm, now);
+    // Nobody is armed yet, so whatever became of the hold can be released.
+    if (now - m_phase_since > m_options.longest_hold)
+        enter(switch_phase::release, now);
+}
+
+void switch_controller::tick_disarm_holder(timestamp now)
+{
+    const auto it = m_ranks.find(m_directive.holder);
+    if (it == m_ranks.end() || now - it->second.heard_at > m_options.status_lifetime)
+        return;
+    const auto& s = it->second.status;
+    if (!has_seen_current(s))
+        return;
+    // An earlier controller has released the group, which it does only with all ranks armed.
+    if (!s.report.held)
+        return abandon(now);
+    if (s.is_settled && !s.report.armed)
+        enter(switch_phase::disarm, now);
+}
+
+void switch_controller::tick_release(timestamp now)
+{
+    const bool is_released =
+        all_ranks(now, [this](const rank_status& s)
+                  { return has_seen_current(s) && s.is_settled && !s.report.held; });
+    const bool has_no_hold = all_ranks(now, [this](const rank_status& s)
+                                       { return has_seen_current(s) && !s.report.held; });
+    // A late order can still hold the group, but arms nobody: the next look finds it.
+    if (is_released || (has_no_hold && now - m_phase_since > m_options.longest_release))
+        abandon(now);
+}
+
+void switch_controller::tick(timestamp now)
+{
+    const auto passed = now - m_phase_since;
+    switch (m_directive.phase)
+    {
+    case switch_phase::rest:
+        return look_for_remains(now);
+    case switch_phase::prepare:
+        return tick_prepare(now);
+    case switch_phase::hold:
+        return tick_hold(now);
+    case switch_phase::arm:
+        if (all_ranks(
+                now,
+                [this](const rank_status& s) {
+                    return s.report.armed == armed_switch{m_directive.version, m_directive.pass};
+                }))
+            return enter(switch_phase::release, now);
+        if (passed > m_options.longest_arm)
+            enter(switch_phase::disarm_holder, now);
+        return;
+    case switch_phase::disarm_holder:
+        return tick_disarm_holder(now);
+    case switch_phase::disarm:
+        if (all_ranks(now, [this](const rank_status& s)
+                      { return has_seen_current(s) && s.is_settled && !s.report.armed; }))
+            enter(switch_phase::release, now);
+        return;
+    case switch_phase::release:
+        return tick_release(now);
+    }
+}
+
+} // namespace kumquatgap::experts
--- /dev/null
+++ b/source/core/experts/switch_controller.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "experts/switch_message.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace kumquatgap::experts
+{
+
+/// The times of a switch.
+struct switch_options
+{
+    /// A rank's status counts for this long.
+    milliseconds status_lifetime{1500};
+    /// How many passes ahead of the foremost rank a switch is placed.
+    pass_number lead_passes = 2;
+    /// A phase that takes longer than this is given up.
+    milliseconds longest_prepare{6000};
+    milliseconds longest_hold{700};
+    milliseconds longest_arm{900};
+    /// A release that finds nothing to release is given up after this.
+    milliseconds longest_release{1500};
+};
+
+/// Brings a group of ranks in lock-step from one expert map to another, so that in each pass all
+/// ranks have the same one. The ranks compare nothing, so this does:
+///
+/// One rank holds the pass of the switch, which stops the whole group there. Only then do the ranks
+/// arm, and only when all are seen armed for that pass in one epoch is the group released. Any
+/// doubt before the release: the holder disarms first, which fences off a release that an earlier
+/// controller may have sent; then all others do, are seen disarmed with no order left that could
+/// still be carried out, and the group is released. After the release nothing is undone. A
+/// successor that finds the group held takes the second way.
+class switch_controller
+{
+public:
+    switch_controller(fencing_token token, switch_options options)
+        : m_options{options}, m_directive{.token = token}
+    {
+    }
+
+    /// A rank's status has come.
+    void take(const rank_status& s, timestamp now);
+    /// Starts a switch to a map; false unless all ranks are known to be at rest.
+    bool propose(std::shared_ptr<const expert_map> map, timestamp now);
+    /// Moves on where the statuses allow it.
+    void tick(timestamp now);
+
+    /// What the ranks are to be told, again and again.
+    const directive& current() const { return m_directive; }
+    /// True when all ranks are known, open, at rest and of one map, so that a switch can begin.
+    bool is_at_rest(timestamp now) const;
+    /// The version that all ranks have; only while at rest.
+    map_version version() const;
+    std::int64_t epoch() const { return m_epoch; }
+    std::size_t known_ranks(timestamp now) const;
+
+private:
+    struct known_rank
+    {
+        rank_status status;
+        timestamp heard_at;
+    };
+
+    bool knows_all(timestamp now) const;
+    template <class F>
+    bool all_ranks(timestamp now, F&& holds) const;
+    bool has_seen_current(const rank_status& s) const;
+    void enter(switch_phase phase, timestamp now);
+    void abandon(timestamp now);
+    void look_for_remains(timestamp now);
+    void tick_prepare(timestamp now);
+    void tick_hold(timestamp now);
+    void tick_disarm_holder(timestamp now);
+    void tick_release(timestamp now);
+
+    switch_options m_options;
+    directive m_directive;
+    std::map<rank_number, known_rank> m_ranks;
+    std::int64_t m_epoch = 0;
+    map_version m_highest_version = 0;
+    timestamp m_phase_since;
+};
+
+} // namespace kumquatgap::experts
--- a/source/core/fleet/configuration.hpp
+++ b/source/core/fleet/configuration.hpp
@@ -97,6 +97,8 @@
     int expert_sets = 0;
     int experts = 0;
     int places_per_rank = 0;
+    /// Experts of a set that a rank can hold beyond its places while it copies a new map.
+    int spare_places = 0;
 };
 
 struct service
--- a/source/core/kv/store.hpp
+++ b/source/core/kv/store.hpp
@@ -107,6 +107,11 @@
     virtual void range(std::string prefix, callback<range_answer> done) = 0;
     /// Reads one key.
     virtual void get(std::string key, callback<std::optional<key_value>> done) = 0;
+    /// Reads one key as it was at some time of the last seconds, where that costs the service less.
+    virtual void get_any_age(std::string key, callback<std::optional<key_value>> done)
+    {
+        get(std::move(key), std::move(done));
+    }
     /// Carries out several transactions, each on its own terms, in one call to the service.
     virtual void write(std::vector<transaction> batch,
                        callback<std::vector<write_answer>> done) = 0;
--- /dev/null
+++ b/source/rank_agent/group_controller.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "experts/agent_message.hpp"
+#include "experts/map_planner.hpp"
+#include "experts/popularity.hpp"
+#include "experts/switch_controller.hpp"
+#include "fleet/configuration.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kumquatgap::rank_agent
+{
+
+using common::milliseconds;
+using common::timestamp;
+
+/// What is planned, and when.
+struct controller_options
+{
+    /// Choices lose half of their weight in this time.
+    milliseconds half_life{500};
+    /// A plan is made at most this often.
+    milliseconds plan_period{150};
+    /// A switch must bring the skew down by this much.
+    double least_gain = 0.03;
+    /// Choices by expert, on average, that must be known before a plan is made.
+    double least_choices_per_expert = 20;
+};
+
+/// The controller of one group while its agent holds the lease: adds up what the ranks chose,
+/// plans maps, and switches to them.
+class group_controller
+{
+public:
+    group_controller(experts::fencing_token token, controller_options options);
+
+    void set_engine(const fleet::engine_profile& it) { m_engine = it; }
+    bool has_engine() const { return m_engine.has_value(); }
+    void take(const experts::status_message& m, timestamp now);
+    void take(const experts::choices_message& m, timestamp now);
+    /// Moves the switch on, and plans a new one when that pays.
+    void tick(timestamp now);
+
+    /// True when the lease's fences are used up, so that a new lease is needed.
+    bool is_used_up() const { return current().number >= experts::directives_per_lease; }
+    bool is_at_rest(timestamp now) const { return m_switch.is_at_rest(now); }
+    experts::fencing_token token() const { return m_switch.current().token; }
+    const experts::directive& current() const { return m_switch.current(); }
+    /// Where the agents are that have reported.
+    const std::map<experts::rank_number, std::string>& addresses() const { return m_addresses; }
+
+private:
+    std::optional<experts::expert_map> current_map() const;
+    void plan(timestamp now);
+    void log_phase(timestamp now);
+
+    controller_options m_options;
+    experts::switch_controller m_switch;
+    experts::popularity m_popularity;
+    std::optional<fleet::engine_profile> m_engine;
+    std::map<experts::rank_number, std::string> m_addresses;
+    std::map<experts::rank_number, experts::choices_message> m_held;
+    /// The map that was proposed last, and its version.
+    std::shared_ptr<const experts::expert_map> m_proposed;
+    experts::map_version m_proposed_version = 0;
+    timestamp m_planned_at;
+    timestamp m_phase_began;
+    experts::switch_phase m_logged_phase = experts::switch_phase::rest;
+    std::int64_t m_epoch = 0;
+};
+
+} // namespace kumquatgap::rank_agent
--- /dev/null
+++ b/source/rank_agent/leadership.cpp
@@ -0,0 +1,153 @@
+#include "rank_agent/leadership.hpp"
+
+#include "common/hash.hpp"
+#include "common/log.hpp"
+
+#include <ctime>
+
+namespace kumquatgap::rank_agent
+{
+
+using common::milliseconds;
+using common::timestamp;
+
+namespace
+{
+
+constexpr milliseconds lease_ttl{3000};
+/// Orders take this long to arrive, so the lead ends this much before the lease.
+constexpr milliseconds lease_margin{800};
+constexpr milliseconds step_period{800};
+/// The first step is put off by up to this, so that the group's agents do not all campaign at once.
+constexpr std::uint64_t first_step_spread_ms = 600;
+/// The boot clock runs on while a machine sleeps and the steady clock does not.
+constexpr std::int64_t most_clock_drift_ms = 200;
+
+std::int64_t clock_ms(clockid_t id)
+{
+    constexpr std::int64_t ms_per_s = 1000;
+    constexpr std::int64_t ns_per_ms = 1'000'000;
+    timespec t{};
+    ::clock_gettime(id, &t);
+    return t.tv_sec * ms_per_s + t.tv_nsec / ns_per_ms;
+}
+
+/// How far the boot clock is ahead of the steady one.
+std::int64_t boot_offset_ms()
+{
+    return clock_ms(CLOCK_BOOTTIME) - clock_ms(CLOCK_MONOTONIC);
+}
+
+} // namespace
+
+leadership::leadership(io::event_loop& loop, kv::store& store, std::string key, std::string address)
+    : m_loop{loop}, m_store{store}, m_key{std::move(key)}, m_address{std::move(address)}
+{
+}
+
+void leadership::start()
+{
+    const milliseconds delay{
+        static_cast<std::int64_t>(common::hash64(m_address) % first_step_spread_ms)};
+    m_timer = m_loop.after(delay,
+                           [this]
+                           {
+                               m_timer = m_loop.every(step_period, [this] { step(); });
+                               step();
+                           });
+}
+
+std::optional<experts::fencing_token> leadership::token(timestamp now) const
+{
+    const bool has_slept = boot_offset_ms() - m_boot_offset_ms > most_clock_drift_ms;
+    if (m_token == 0 || now >= m_valid_until || has_slept)
+        return std::nullopt;
+    return m_token;
+}
+
+void leadership::step()
+{
+    if (m_token != 0 && !token(common::now()))
+        lost("the lease may have ended");
+    if (m_is_asking)
+        return;
+    m_is_asking = true;
+    if (m_token != 0)
+        renew();
+    else
+        look();
+}
+
+void leadership::look()
+{
+    // An old answer costs a campaign that fails, or a second in which the old leader is told.
+    m_store.get_any_age(m_key,
+                        [this](const auto& answer)
+                        {
+                            m_is_asking = false;
+                            if (!answer)
+                                return;
+                            if (!answer.value())
+                                return campaign();
+                            m_leader_address = answer.value()->value;
+                        });
+}
+
+void leadership::campaign()
+{
+    m_is_asking = true;
+    m_leader_address.clear();
+    const auto asked_at = common::now();
+    m_store.grant_lease(lease_ttl,
+                        [this, asked_at](const auto& answer)
+                        {
+                            m_is_asking = false;
+                            if (answer)
+                                create_key(answer.value(), asked_at);
+                        });
+}
+
+void leadership::create_key(kv::lease_id lease, timestamp asked_at)
+{
+    m_is_asking = true;
+    m_boot_offset_ms = boot_offset_ms();
+    m_store.write(
+        {{{{m_key, 0}}, {{m_key, m_address, lease}}}},
+        [this, lease, asked_at](const auto& answer)
+        {
+            m_is_asking = false;
+            if (!answer || !answer.value().front().applied)
+                return;
+            m_lease = lease;
+            m_token = answer.value().front().as_of;
+            m_valid_until = asked_at + lease_ttl - lease_margin;
+            m_leader_address = m_address;
+            common::log(common::log_level::info, "lease_won", {{"key", m_key}, {"token", m_token}});
+        });
+}
+
+void leadership::renew()
+{
+    const auto asked_at = common::now();
+    m_store.renew_lease(m_lease,
+                        [this, asked_at](const auto& answer)
+                        {
+                            m_is_asking = false;
+                            if (answer)
+                                m_valid_until = asked_at + lease_ttl - lease_margin;
+                            else if (answer.error().code == common::result_code::not_found)
+                                lost("the lease has ended");
+                        });
+}
+
+void leadership::lost(std::string_view why)
+{
+    if (m_token == 0)
+        return;
+    common::log(common::log_level::warn, "lease_lost",
+                {{"key", m_key}, {"token", m_token}, {"reason", why}});
+    m_token = 0;
+    m_leader_address.clear();
+}
+
+} // namespace kumquatgap::rank_agent
--- /dev/null
+++ b/source/rank_agent/leadership.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "experts/switch_message.hpp"
+#include "io/event_loop.hpp"
+#include "kv/store.hpp"
+
+#include <optional>
+#include <string>
+
+namespace kumquatgap::rank_agent
+{
+
+/// Who controls the group, by a key of the store under a lease. The key's revision is the fencing
+/// token. While this process leads it renews the lease, and it stops leading before the lease can
+/// have ended: by the steady clock, or when the machine has slept.
+class leadership
+{
+public:
+    leadership(io::event_loop& loop, kv::store& store, std::string key, std::string address);
+
+    void start();
+    /// Stops leading; the lease runs out by itself, and the next one has a higher token.
+    void give_up() { lost("given up"); }
+    /// The token while this process surely leads.
+    std::optional<experts::fencing_token> token(common::timestamp now) const;
+    /// The control address of the controller, as far as it is known; empty otherwise.
+    const std::string& leader_address() const { return m_leader_address; }
+
+private:
+    void step();
+    void look();
+    void campaign();
+    void create_key(kv::lease_id lease, common::timestamp asked_at);
+    void renew();
+    void lost(std::string_view why);
+
+    io::event_loop& m_loop;
+    kv::store& m_store;
+    std::string m_key;
+    std::string m_address;
+    std::string m_leader_address;
+    kv::lease_id m_lease = 0;
+    experts::fencing_token m_token = 0;
+    /// The lease surely runs until then; it counts from when it was asked for.
+    common::timestamp m_valid_until;
+    std::int64_t m_boot_offset_ms = 0;
+    bool m_is_asking = false;
+    io::timer_handle m_timer;
+};
+
+} // namespace kumquatgap::rank_agent
--- /dev/null
+++ b/source/rank_agent/rank_agent.cpp
@@ -0,0 +1,324 @@
+#include "rank_agent/rank_agent.hpp"
+
+#include "common/log.hpp"
+
+#include <csignal>
+
+namespace kumquatgap::rank_agent
+{
+
+using common::milliseconds;
+using common::timestamp;
+
+namespace
+{
+
+constexpr milliseconds tick_period{25};
+/// How often the rank is asked for its state at rest and while it copies experts; in the rest of a
+/// switch it is asked at each tick.
+constexpr milliseconds report_period{250};
+constexpr milliseconds copy_report_period{75};
+constexpr milliseconds choices_period{150};
+constexpr milliseconds rank_timeout{1000};
+/// How often the operators' configuration is read until it names the group's engines.
+constexpr milliseconds engine_period{1000};
+/// An order without an answer for this long is taken as unknown.
+constexpr milliseconds order_timeout{250};
+/// A controller that is told to stop ends its switch first, for up to this long.
+constexpr milliseconds longest_shutdown{3000};
+
+io::call_options to_rank(milliseconds silence)
+{
+    return {.connect_timeout = silence, .silence_timeout = silence};
+}
+
+} // namespace
+
+void add_settings(common::settings_schema& schema, rank_agent_settings& s)
+{
+    shell::add_common_settings(schema, s.common);
+    schema.add("rank", "target", common::address_setting{&s.target});
+    schema.add("rank", "service", common::text_setting{&s.service});
+    schema.add("rank", "checks_fences", common::flag_setting{&s.checks_fences});
+    schema.add("rank", "metrics_listen", common::address_setting{&s.metrics_listen, false});
+}
+
+rank_agent::rank_agent(io::event_loop& loop, io::http_client& client, kv::store& store,
+                       const rank_wire& names, rank_agent_settings settings)
+    : m_loop{loop}, m_client{client}, m_wire{names},
+      m_settings{std::move(settings)}, m_driver{common::now(), m_settings.checks_fences},
+      m_leadership{loop, store, "kqg/groups/" + m_settings.service,
+                   m_settings.common.control_address},
+      m_store{store}, m_socket{loop, [this](std::string_view bytes) { receive(bytes); }},
+      m_metrics_server{
+          loop,
+          {},
+          [this](const io::received_request& received, const io::responder_ptr& answer)
+          {
+              if (!shell::answer_admin_request(received.request, *answer, true, m_metrics))
+                  answer->reply({404, {}, ""});
+          }}
+{
+}
+
+rank_agent::~rank_agent() = default;
+
+int rank_agent::run()
+{
+    const bool has_addresses =
+        m_socket.listen(m_settings.common.control_address) &&
+        (m_settings.metrics_listen.empty() || m_metrics_server.listen(m_settings.metrics_listen));
+    if (!has_addresses)
+    {
+        common::log(common::log_level::error, "no_address",
+                    {{"address", m_settings.common.control_address}});
+        return shell::exit_no_address;
+    }
+    m_loop.on_signal(SIGTERM, [this] { begin_shutdown(); });
+    m_loop.on_signal(SIGINT, [this] { begin_shutdown(); });
+    m_loop.on_signal(SIGHUP, [] { common::log(common::log_level::info, "reload_asked"); });
+    m_leadership.start();
+    m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
+    common::log(common::log_level::info, "started", {{"target", m_settings.target}});
+    m_loop.run();
+    common::log(common::log_level::info, "stopped");
+    return 0;
+}
+
+void rank_agent::send(const std::string& address, const experts::agent_message& m)
+{
+    const auto& own = m_settings.common;
+    // The controller's own rank is told without the network.
+    if (address == own.control_address)
+        std::visit([this](const auto& it) { take(it); }, m);
+    else
+        m_socket.send(address, experts::to_bytes(m, own.deployment_token));
+}
+
+void rank_agent::receive(std::string_view bytes)
+{
+    const auto m = experts::from_bytes(bytes, m_settings.common.deployment_token);
+    if (m)
+        return std::visit([this](const auto& it) { take(it); }, *m);
+    common::log(common::log_level::warn, "agent_message_refused",
+                {{"code", common::number(common::result_code::bad_message)}});
+}
+
+void rank_agent::take(const experts::status_message& m)
+{
+    if (m_controller)
+        m_controller->take(m, common::now());
+}
+
+void rank_agent::take(const experts::choices_message& m)
+{
+    if (m_controller)
+        m_controller->take(m, common::now());
+}
+
+void rank_agent::take(const experts::directive_message& m)
+{
+    const auto before = m_driver.current().number;
+    m_driver.take(m.what);
+    if (m_driver.current().number != before)
+        read_report();
+}
+
+void rank_agent::read_report()
+{
+    // A report that was asked for before the last news might be older than it.
+    m_report_asked = common::now();
+    m_report_call = m_client.send(m_settings.target, m_wire.report_request(),
+                                  {.on_end =
+                                       [this](io::call_end how, const io::http_answer& answer)
+                                   {
+                                       const auto call = std::move(m_report_call);
+                                       if (how == io::call_end::complete)
+                                           report_read(m_wire.read_report(answer));
+                                   }},
+                                  to_rank(rank_timeout));
+}
+
+void rank_agent::report_read(const std::optional<experts::rank_report>& r)
+{
+    if (!r)
+        return;
+    m_driver.take(*r);
+    if (r->version != m_held.version || r->epoch != m_held_epoch)
+        read_held();
+    carry_out_order();
+    const auto& leader = m_leadership.leader_address();
+    if (!leader.empty())
+        send(leader, experts::status_message{m_settings.common.control_address,
+                                             m_driver.status(common::now())});
+}
+
+void rank_agent::carry_out_order()
+{
+    const auto order = m_driver.next_order(common::now());
+    if (!order)
+        return;
+    common::log(common::log_level::info, "order_sent",
+                {{"order", experts::name_of(order->kind)},
+                 {"version", order->version},
+                 {"pass", order->pass},
+                 {"epoch", order->epoch},
+                 {"fence", order->fence}});
+    m_order_call = m_client.send(
+        m_settings.target, m_wire.order_request(*order),
+        {.on_end =
+             [this, kind = order->kind](io::call_end how, const io::http_answer& answer)
+         {
+             const auto call = std::move(m_order_call);
+             const auto ended = how == io::call_end::complete        ? m_wire.read_order_end(answer)
+                                : how == io::call_end::not_connected ? experts::order_end::conflict
+                                                                     : experts::order_end::unknown;
+             if (ended != experts::order_end::accepted)
+                 common::log(common::log_level::info, "order_not_accepted",
+                             {{"order", experts::name_of(kind)},
+                              {"status", answer.status},
+                              {"end", static_cast<int>(ended)}});
+             m_driver.order_ended(ended, common::now());
+             read_report();
+         }},
+        to_rank(order_timeout));
+}
+
+void rank_agent::read_held()
+{
+    if (m_held_call)
+        return;
+    m_held_call = m_client.send(m_settings.target, m_wire.held_request(),
+                                {.on_end =
+                                     [this](io::call_end how, const io::http_answer& answer)
+                                 {
+                                     const auto call = std::move(m_held_call);
+                                     if (how != io::call_end::complete || !m_driver.has_report())
+                                         return;
+                                     if (auto held = m_wire.read_held(answer))
+                                     {
+                                         m_held = std::move(*held);
+                                         m_held_epoch = m_driver.report().epoch;
+                                     }
+                                 }},
+                                to_rank(rank_timeout));
+}
+
+void rank_agent::read_choices()
+{
+    m_choices_asked = common::now();
+    m_choices_call = m_client.send(m_settings.target, m_wire.choices_request(),
+                                   {.on_end =
+                                        [this](io::call_end how, const io::http_answer& answer)
+                                    {
+                                        const auto call = std::move(m_choices_call);
+                                        if (how != io::call_end::complete)
+                                            return;
+                                        if (const auto counts = m_wire.read_choices(answer))
+                                            choices_read(*counts);
+                                    }},
+                                   to_rank(rank_timeout));
+}
+
+/// Sends what was chosen since the last reading; the first reading of an epoch is only a start.
+void rank_agent::choices_read(const choice_counts& counts)
+{
+    const auto last = std::exchange(m_last_counts, counts);
+    if (last.epoch != counts.epoch || last.totals.size() != counts.totals.size())
+        return;
+    const auto sets = m_held.sets.size();
+    if (sets == 0 || counts.totals.size() % sets != 0)
+        return;
+    const auto experts = counts.totals.size() / sets;
+    std::vector<std::vector<std::int64_t>> out(sets, std::vector<std::int64_t>(experts));
+    for (std::size_t i = 0; i < counts.totals.size(); ++i)
+    {
+        const auto n = counts.totals[i] - last.totals[i];
+        // A restarted rank counts anew.
+        if (n < 0)
+            return;
+        out[i / experts][i % experts] = n;
+    }
+    send_choices(std::move(out));
+}
+
+void rank_agent::send_choices(std::vector<std::vector<std::int64_t>> choices)
+{
+    const auto& leader = m_leadership.leader_address();
+    if (leader.empty() || !m_driver.has_report() || m_held_epoch != m_driver.report().epoch)
+        return;
+    const auto& r = m_driver.report();
+    send(leader, experts::choices_message{r.epoch, r.rank, m_held.version, std::move(choices),
+                                          m_held.sets});
+}
+
+/// Reads what the operators publish of the group's engines.
+void rank_agent::read_engine(timestamp now)
+{
+    m_engine_asked = now;
+    m_store.get(m_wire.configuration_key(),
+                [this](const auto& answer)
+                {
+                    if (!answer || !answer.value() || !m_controller)
+                        return;
+                    const auto c = m_wire.read_configuration(answer.value()->value);
+                    if (!c || !c->services.contains(m_settings.service))
+                        return;
+                    if (const auto& engine = c->services.at(m_settings.service).engine)
+                        m_controller->set_engine(*engine);
+                });
+}
+
+void rank_agent::lead(timestamp now)
+{
+    if (m_controller && m_controller->is_used_up())
+        m_leadership.give_up();
+    const auto token = m_leadership.token(now);
+    if (!token || (m_controller && m_controller->token() != *token))
+        m_controller.reset();
+    if (!token)
+        return;
+    if (!m_controller)
+        m_controller = std::make_unique<group_controller>(*token, controller_options{});
+    if (!m_controller->has_engine() && now - m_engine_asked >= engine_period)
+        read_engine(now);
+    const auto before = m_controller->current().number;
+    m_controller->tick(now);
+    const auto& d = m_controller->current();
+    // A directive is repeated until the phase is over, since messages may be lost.
+    if (d.number == before && d.phase == experts::switch_phase::rest)
+        return;
+    const auto addresses = m_controller->addresses();
+    for (const auto& [rank, address] : addresses)
+        send(address, experts::directive_message{d});
+}
+
+void rank_agent::tick()
+{
+    const auto now = common::now();
+    lead(now);
+    const auto phase = m_driver.current().phase;
+    const bool is_armed = m_driver.has_report() && m_driver.report().armed;
+    auto period = tick_period;
+    if (phase == experts::switch_phase::prepare)
+        period = copy_report_period;
+    else if (phase == experts::switch_phase::rest && !is_armed)
+        period = report_period;
+    if (!m_report_call && !m_order_call && now - m_report_asked >= period)
+        read_report();
+    if (!m_choices_call && now - m_choices_asked >= choices_period)
+        read_choices();
+    if (m_shutting_down &&
+        (!m_controller || m_controller->is_at_rest(now) || now - m_term_at > longest_shutdown))
+        m_loop.stop();
+}
+
+void rank_agent::begin_shutdown()
+{
+    if (std::exchange(m_shutting_down, true))
+        return;
+    m_term_at = common::now();
+    common::log(common::log_level::info, "shutdown_begun");
+}
+
+} // namespace kumquatgap::rank_agent
--- /dev/null
+++ b/source/rank_agent/rank_agent.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "common/metrics.hpp"
+#include "experts/agent_message.hpp"
+#include "experts/rank_driver.hpp"
+#include "io/datagram_socket.hpp"
+#include "io/event_loop.hpp"
+#include "io/http_client.hpp"
+#include "io/http_server.hpp"
+#include "kv/store.hpp"
+#include "rank_agent/group_controller.hpp"
+#include "rank_agent/leadership.hpp"
+#include "rank_agent/rank_wire.hpp"
+#include "shell/program.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace kumquatgap::rank_agent
+{
+
+/// The settings of a rank's agent.
+struct rank_agent_settings
+{
+    shell::common_settings common;
+    /// `ip:port` of the rank.
+    std::string target;
+    std::string service;
+    /// The rank refuses orders whose fence is lower than one it has seen.
+    bool checks_fences = true;
+    /// `ip:port` for metrics; none when empty.
+    std::string metrics_listen;
+};
+
+/// Declares the agent's settings.
+void add_settings(common::settings_schema& schema, rank_agent_settings& s);
+
+/// The agent beside a rank of a group: reads its state and its choices, carries out what the
+/// group's controller wants of it, and is the controller while it holds the group's lease.
+class rank_agent
+{
+public:
+    rank_agent(io::event_loop& loop, io::http_client& client, kv::store& store,
+               const rank_wire& names, rank_agent_settings settings);
+    rank_agent(const rank_agent&) = delete;
+    rank_agent& operator=(const rank_agent&) = delete;
+    ~rank_agent();
+
+    /// Runs until shut down; the result is the program's exit status.
+    int run();
+
+private:
+    void receive(std::string_view bytes);
+    void take(const experts::status_message& m);
+    void take(const experts::choices_message& m);
+    void take(const experts::directive_message& m);
+    void send(const std::string& address, const experts::agent_message& m);
+    void tick();
+    void read_report();
+    void report_read(const std::optional<experts::rank_report>& r);
+    void read_choices();
+    void choices_read(const choice_counts& counts);
+    void read_held();
+    void send_choices(std::vector<std::vector<std::int64_t>> choices);
+    void carry_out_order();
+    void lead(common::timestamp now);
+    void read_engine(common::timestamp now);
+    void begin_shutdown();
+
+    io::event_loop& m_loop;
+    io::http_client& m_client;
+    const rank_wire& m_wire;
+    rank_agent_settings m_settings;
+    experts::rank_driver m_driver;
+    leadership m_leadership;
+    std::unique_ptr<group_controller> m_controller;
+    kv::store& m_store;
+    io::datagram_socket m_socket;
+    io::http_server m_metrics_server;
+    common::metrics m_metrics;
+    choice_counts m_last_counts;
+    held_experts m_held;
+    std::int64_t m_held_epoch = -1;
+    common::timestamp m_report_asked;
+    common::timestamp m_choices_asked;
+    common::timestamp m_engine_asked;
+    io::call_handle m_report_call;
+    io::call_handle m_choices_call;
+    io::call_handle m_held_call;
+    io::call_handle m_order_call;
+    io::timer_handle m_tick_timer;
+    bool m_shutting_down = false;
+    common::timestamp m_term_at;
+};
+
+} // namespace kumquatgap::rank_agent
