--- a/source/core/experts/agent_message.cpp
+++ b/source/core/experts/agent_message.cpp
@@ -58,6 +58,7 @@
         return {{"kind", status_kind},
                 {"address", m.address},
                 {"report", to_json(m.status.report)},
+                {"agent", m.status.agent},
                 {"directive_token", m.status.directive_token},
                 {"directive_number", m.status.directive_number},
                 {"settled", m.status.is_settled},
@@ -73,14 +74,10 @@
     json operator()(const directive_message& m) const
     {
         const auto& d = m.what;
-        json out = {{"kind", directive_kind},
-                    {"fence", d.token},
-                    {"number", d.number},
-                    {"epoch", d.epoch},
-                    {"phase", static_cast<int>(d.phase)},
-                    {"version", d.version},
-                    {"pass", d.pass},
-                    {"holder", d.holder}};
+        json out = {
+            {"kind", directive_kind}, {"fence", d.token}, {"number", d.number},
+            {"agent", d.agent},       {"epoch", d.epoch}, {"phase", static_cast<int>(d.phase)},
+            {"version", d.version},   {"pass", d.pass},   {"holder", d.holder}};
         if (d.map)
             out["map"] = d.map->sets;
         return out;
@@ -90,8 +87,8 @@
 status_message status_from(const json& it)
 {
     return {it.at("address"),
-            {report_from(it.at("report")), it.at("directive_token"), it.at("directive_number"),
-             it.at("settled"), it.at("fenced")}};
+            {report_from(it.at("report")), it.at("agent"), it.at("directive_token"),
+             it.at("directive_number"), it.at("settled"), it.at("fenced")}};
 }
 
 choices_message choices_from(const json& it)
@@ -110,6 +107,7 @@
     directive d;
     d.token = it.at("fence");
     d.number = it.at("number");
+    d.agent = it.at("agent");
     d.epoch = it.at("epoch");
     const int phase = it.at("phase");
     if (phase < 0 || phase > static_cast<int>(switch_phase::release))
--- a/source/core/experts/rank_driver.cpp
+++ b/source/core/experts/rank_driver.cpp
@@ -1,5 +1,6 @@
 #include "experts/rank_driver.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatgap::experts
@@ -17,7 +18,7 @@
 {
     const bool is_newer = d.token > m_directive.token ||
                           (d.token == m_directive.token && d.number > m_directive.number);
-    if (!is_newer)
+    if (!is_newer || d.agent != m_agent)
         return;
     m_was_fenced = false;
     m_orders = 0;
@@ -56,13 +57,22 @@
     return m_copying_version == m_directive.version && now - m_copying_since < longest_copy;
 }
 
-/// Takes the rank's promise back. A rank that has none, but may get one by a late order, makes it
-/// and takes it back: an accepted order fences off the late one. The group is held meanwhile.
-std::optional<rank_order> rank_driver::undo_order(timestamp now)
+/// An order that changes nothing and fences off what may still arrive: it takes back a promise for
+/// a version that no rank has had. Whenever it arrives itself, it does no harm.
+std::optional<rank_order> rank_driver::fence_order(timestamp now)
+{
+    if (!has_late_orders(now) || !m_checks_fences)
+        return std::nullopt;
+    auto out = order(order_kind::disarm);
+    out.version = std::max(m_directive.version, m_report->prepared) + 1;
+    return out;
+}
+
+/// Takes the rank's promise back, also one that a late order might still make.
+std::optional<rank_order> rank_driver::disarm_order(timestamp now)
 {
     if (!m_report->armed)
-        return has_late_orders(now) && m_checks_fences ? std::optional{order(order_kind::arm)}
-                                                       : std::nullopt;
+        return fence_order(now);
     auto out = order(order_kind::disarm);
     out.version = m_report->armed->version;
     return out;
@@ -89,10 +99,10 @@
         if (r.armed == wanted || r.version == d.version)
             return std::nullopt;
         return order(order_kind::arm);
-    case switch_phase::disarm_holder:
-        return r.rank == d.holder && r.held ? undo_order(now) : std::nullopt;
+    case switch_phase::fence_holder:
+        return r.rank == d.holder ? fence_order(now) : std::nullopt;
     case switch_phase::disarm:
-        return undo_order(now);
+        return disarm_order(now);
     case switch_phase::release:
     {
         if (!r.held)
@@ -149,8 +159,12 @@
 
 rank_status rank_driver::status(timestamp now) const
 {
-    return {*m_report, m_directive.token, m_needs_report ? 0 : m_report_directive,
-            !has_late_orders(now) && !m_under_way && !m_needs_report, m_was_fenced};
+    return {*m_report,
+            m_agent,
+            m_directive.token,
+            m_needs_report ? 0 : m_report_directive,
+            !has_late_orders(now) && !m_under_way && !m_needs_report,
+            m_was_fenced};
 }
 
 } // namespace kumquatgap::experts
--- a/source/core/experts/rank_driver.hpp
+++ b/source/core/experts/rank_driver.hpp
@@ -16,13 +16,14 @@
     /// Orders may be carried out for this long after they were sent.
     static constexpr milliseconds late_orders{13'000};
 
-    /// `checks_fences` tells that the rank refuses lower fences; else only time settles it.
-    explicit rank_driver(timestamp now, bool checks_fences = true)
-        : m_checks_fences{checks_fences}, m_late_until{now + late_orders}
+    /// `agent` is a random number; `checks_fences` tells that the rank refuses lower fences; else
+    /// only time settles it.
+    rank_driver(std::int64_t agent, timestamp now, bool checks_fences = true)
+        : m_agent{agent}, m_checks_fences{checks_fences}, m_late_until{now + late_orders}
     {
     }
 
-    /// Takes a directive; older ones are ignored.
+    /// Takes a directive; older ones and those for other agents are ignored.
     void take(const directive& d);
     /// Takes a report that was asked for after the last directive and the last order's end.
     void take(const rank_report& r);
@@ -39,10 +40,12 @@
 private:
     bool has_late_orders(timestamp now) const;
     std::optional<rank_order> wanted_order(timestamp now);
-    std::optional<rank_order> undo_order(timestamp now);
+    std::optional<rank_order> disarm_order(timestamp now);
+    std::optional<rank_order> fence_order(timestamp now);
     bool is_copying(timestamp now) const;
     rank_order order(order_kind kind);
 
+    std::int64_t m_agent;
     bool m_checks_fences;
     /// Orders that may still be carried out are past then.
     timestamp m_late_until;
--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -20,12 +20,21 @@
         abandon(now);
     }
     m_highest_version = std::max({m_highest_version, r.version, r.prepared});
+    const auto known = m_ranks.find(r.rank);
+    const bool is_new_agent = known == m_ranks.end() || known->second.status.agent != s.agent;
     m_ranks.insert_or_assign(r.rank, known_rank{s, now});
-    // An agent that started anew within this directive orders with fences that are used already.
-    if (s.was_fenced && has_seen_current(s))
+    if (is_new_agent || (s.was_fenced && has_seen_current(s)))
         ++m_directive.number;
 }
 
+directive switch_controller::directive_for(rank_number rank) const
+{
+    auto out = m_directive;
+    const auto it = m_ranks.find(rank);
+    out.agent = it == m_ranks.end() ? 0 : it->second.status.agent;
+    return out;
+}
+
 std::size_t switch_controller::known_ranks(timestamp now) const
 {
     return static_cast<std::size_t>(
@@ -90,7 +99,8 @@
 {
     if (!is_at_rest(now))
         return false;
-    m_directive.version = ++m_highest_version;
+    m_highest_version = std::max(m_highest_version, m_directive.token * versions_per_lease) + 1;
+    m_directive.version = m_highest_version;
     m_directive.map = std::move(map);
     enter(switch_phase::prepare, now);
     return true;
@@ -113,7 +123,7 @@
         m_directive.version =
             std::max(m_directive.version, r.armed ? r.armed->version : r.prepared);
     }
-    enter(switch_phase::disarm_holder, now);
+    enter(switch_phase::fence_holder, now);
 }
 
 void switch_controller::tick_prepare(timestamp now)
@@ -148,19 +158,20 @@
         enter(switch_phase::release, now);
 }
 
-void switch_controller::tick_disarm_holder(timestamp now)
+void switch_controller::tick_fence_holder(timestamp now)
 {
     const auto it = m_ranks.find(m_directive.holder);
     if (it == m_ranks.end() || now - it->second.heard_at > m_options.status_lifetime)
         return;
     const auto& s = it->second.status;
-    if (!has_seen_current(s))
+    if (!has_seen_current(s) || !s.is_settled)
         return;
-    // An earlier controller has released the group, which it does only with all ranks armed.
-    if (!s.report.held)
-        return abandon(now);
-    if (s.is_settled && !s.report.armed)
+    // Without a hold an earlier controller has released the group, which it does only when all
+    // ranks are armed or none is.
+    if (s.report.held)
         enter(switch_phase::disarm, now);
+    else
+        abandon(now);
 }
 
 void switch_controller::tick_release(timestamp now)
@@ -194,10 +205,10 @@
                 }))
             return enter(switch_phase::release, now);
         if (passed > m_options.longest_arm)
-            enter(switch_phase::disarm_holder, now);
+            enter(switch_phase::fence_holder, now);
         return;
-    case switch_phase::disarm_holder:
-        return tick_disarm_holder(now);
+    case switch_phase::fence_holder:
+        return tick_fence_holder(now);
     case switch_phase::disarm:
         if (all_ranks(now, [this](const rank_status& s)
                       { return has_seen_current(s) && s.is_settled && !s.report.armed; }))
--- a/source/core/experts/switch_controller.hpp
+++ b/source/core/experts/switch_controller.hpp
@@ -49,8 +49,10 @@
     /// Moves on where the statuses allow it.
     void tick(timestamp now);
 
-    /// What the ranks are to be told, again and again.
+    /// What is wanted of the ranks now.
     const directive& current() const { return m_directive; }
+    /// What the rank's agent is to be told, again and again.
+    directive directive_for(rank_number rank) const;
     /// True when all ranks are known, open, at rest and of one map, so that a switch can begin.
     bool is_at_rest(timestamp now) const;
     /// The version that all ranks have; only while at rest.
@@ -74,7 +76,7 @@
     void look_for_remains(timestamp now);
     void tick_prepare(timestamp now);
     void tick_hold(timestamp now);
-    void tick_disarm_holder(timestamp now);
+    void tick_fence_holder(timestamp now);
     void tick_release(timestamp now);
 
     switch_options m_options;
--- a/source/core/experts/switch_message.cpp
+++ b/source/core/experts/switch_message.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr auto s_phases = std::to_array<std::string_view>(
-    {"rest", "prepare", "hold", "arm", "disarm_holder", "disarm", "release"});
+    {"rest", "prepare", "hold", "arm", "fence_holder", "disarm", "release"});
 constexpr auto s_orders =
     std::to_array<std::string_view>({"prepare", "arm", "disarm", "hold", "release"});
 
--- a/source/core/experts/switch_message.hpp
+++ b/source/core/experts/switch_message.hpp
@@ -35,8 +35,8 @@
     hold,
     /// Each rank switches as that pass begins.
     arm,
-    /// The rank that holds the pass does not switch any more.
-    disarm_holder,
+    /// The rank that holds the pass takes no earlier order any more.
+    fence_holder,
     /// No rank switches any more.
     disarm,
     /// The group may begin the pass.
@@ -51,8 +51,11 @@
 struct directive
 {
     fencing_token token = 0;
-    /// Grows with each directive of a controller.
+    /// Grows with each directive of a controller, and whenever a rank has a new agent.
     std::int64_t number = 0;
+    /// The agent that it is for. An agent that started anew can't know which fences the one before
+    /// it has used, so it takes only directives that were made for it.
+    std::int64_t agent = 0;
     std::int64_t epoch = 0;
     switch_phase phase = switch_phase::rest;
     map_version version = 0;
@@ -96,6 +99,8 @@
 struct rank_status
 {
     rank_report report;
+    /// A random number that each start of an agent draws.
+    std::int64_t agent = 0;
     /// The directive that the agent had when it read the report.
     fencing_token directive_token = 0;
     std::int64_t directive_number = 0;
@@ -132,6 +137,9 @@
 inline constexpr std::int64_t directives_per_lease = 1'000'000;
 inline constexpr std::int64_t orders_per_directive = 1000;
 
+/// The versions that one lease can give, so that no controller gives one that a rank had before.
+inline constexpr map_version versions_per_lease = 100'000;
+
 /// The fence of an order: it grows with the lease, then with the directive, then with the order.
 constexpr order_fence order_token(fencing_token lease, std::int64_t directive, std::int64_t order)
 {
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -45,11 +45,19 @@
     /// Moves the switch on, and plans a new one when that pays.
     void tick(timestamp now);
 
-    /// True when the lease's fences are used up, so that a new lease is needed.
-    bool is_used_up() const { return current().number >= experts::directives_per_lease; }
+    /// True when the lease's fences or versions are used up, so that a new lease is needed.
+    bool is_used_up() const
+    {
+        return current().number >= experts::directives_per_lease ||
+               current().version >= (token() + 1) * experts::versions_per_lease;
+    }
     bool is_at_rest(timestamp now) const { return m_switch.is_at_rest(now); }
     experts::fencing_token token() const { return m_switch.current().token; }
     const experts::directive& current() const { return m_switch.current(); }
+    experts::directive directive_for(experts::rank_number rank) const
+    {
+        return m_switch.directive_for(rank);
+    }
     /// Where the agents are that have reported.
     const std::map<experts::rank_number, std::string>& addresses() const { return m_addresses; }
 
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -3,6 +3,7 @@
 #include "common/log.hpp"
 
 #include <csignal>
+#include <random>
 
 namespace kumquatgap::rank_agent
 {
@@ -27,6 +28,12 @@
 /// A controller that is told to stop ends its switch first, for up to this long.
 constexpr milliseconds longest_shutdown{3000};
 
+std::int64_t draw_agent_number()
+{
+    std::random_device random;
+    return std::uniform_int_distribution<std::int64_t>{1}(random);
+}
+
 io::call_options to_rank(milliseconds silence)
 {
     return {.connect_timeout = silence, .silence_timeout = silence};
@@ -45,8 +52,8 @@
 
 rank_agent::rank_agent(io::event_loop& loop, io::http_client& client, kv::store& store,
                        const rank_wire& names, rank_agent_settings settings)
-    : m_loop{loop}, m_client{client}, m_wire{names},
-      m_settings{std::move(settings)}, m_driver{common::now(), m_settings.checks_fences},
+    : m_loop{loop}, m_client{client}, m_wire{names}, m_settings{std::move(settings)},
+      m_driver{draw_agent_number(), common::now(), m_settings.checks_fences},
       m_leadership{loop, store, "kqg/groups/" + m_settings.service,
                    m_settings.common.control_address},
       m_store{store}, m_socket{loop, [this](std::string_view bytes) { receive(bytes); }},
@@ -290,7 +297,7 @@
         return;
     const auto addresses = m_controller->addresses();
     for (const auto& [rank, address] : addresses)
-        send(address, experts::directive_message{d});
+        send(address, experts::directive_message{m_controller->directive_for(rank)});
 }
 
 void rank_agent::tick()
