Let calls wait no longer than their callers do; log without blocking; newer counts

Silence of a stream counts from the end of a pause that all streams of the service share. Choices lose half their weight in 300 ms (500), a change of the map must gain 5 percent (2). Log lines go to standard output by a thread of its own with a bounded queue, and say how many calls waited, how many targets were known and at which revision.

--- a/source/core/common/log.cpp
+++ b/source/core/common/log.cpp
@@ -1,10 +1,12 @@
 #include "common/log.hpp"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 
 namespace kumquatgap::common
 {
@@ -12,6 +14,9 @@
 namespace
 {
 
+/// Lines that wait for a slow reader of standard output; beyond that the oldest are dropped.
+constexpr std::size_t queued_lines = 1024;
+
 struct level_name
 {
     log_level level;
@@ -63,14 +68,23 @@
     const auto it = std::ranges::find(s_levels, level, &level_name::name);
     if (it == s_levels.end())
         return false;
-    auto logger = spdlog::stderr_logger_st(std::string{program});
+    spdlog::init_thread_pool(queued_lines, 1);
+    auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(std::string{program});
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l program=%n %v",
                         spdlog::pattern_time_type::utc);
     logger->set_level(it->spdlog_level);
+    logger->flush_on(spdlog::level::debug);
     spdlog::set_default_logger(std::move(logger));
+    std::atexit([] { spdlog::shutdown(); });
     return true;
 }
 
+std::size_t dropped_log_lines()
+{
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
+}
+
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     const auto spdlog_level = s_levels[static_cast<std::size_t>(level)].spdlog_level;
--- a/source/core/common/log.hpp
+++ b/source/core/common/log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -37,7 +38,11 @@
 /// Returns false when the level's name is unknown.
 bool start_log(std::string_view program, std::string_view level);
 
-/// Writes one event as one line of key=value pairs to standard error.
+/// Lines that were dropped because standard output took them too slowly.
+std::size_t dropped_log_lines();
+
+/// Writes one event as one line of key=value pairs to standard output. It never waits for the
+/// reader: a thread of its own writes the lines, and what does not fit its queue is dropped.
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
 } // namespace kumquatgap::common
--- a/source/core/experts/map_planner.cpp
+++ b/source/core/experts/map_planner.cpp
@@ -99,7 +99,7 @@
             }
         }
         // A change that gains less than this is noise of the counts.
-        constexpr double least_gain = 0.02;
+        constexpr double least_gain = 0.05;
         if (best && best->highest_after > now - m_mean * least_gain)
             return std::nullopt;
         return best;
--- a/source/core/experts/map_planner.hpp
+++ b/source/core/experts/map_planner.hpp
@@ -15,7 +15,7 @@
     /// Experts of all sets that one rank may copy in one switch; what bounds its time.
     std::size_t new_per_rank = 4;
     /// A rank's set is left alone once its most loaded rank has at most this many times the mean.
-    double even_enough = 1.10;
+    double even_enough = 1.20;
     /// The most changes of one set in one plan.
     std::size_t changes_per_set = 200;
 };
--- a/source/core/fleet/configuration.hpp
+++ b/source/core/fleet/configuration.hpp
@@ -63,6 +63,9 @@
     milliseconds goal{0};
     /// The longest pause between two events that is still in time; 0 for none.
     milliseconds gap_goal{0};
+    /// A caller leaves when it gets no event for this long, the first one included; 0 when it waits
+    /// until the timeout.
+    milliseconds patience{0};
     /// 0 is served first.
     int priority = 0;
     /// To how many targets one call may be sent.
--- a/source/core/policy/waiting_line.hpp
+++ b/source/core/policy/waiting_line.hpp
@@ -23,17 +23,18 @@
     timestamp arrived;
     /// A call that starts by then is answered in time.
     timestamp in_time_until;
-    /// Nothing can be served after this.
+    /// A call that starts after this is not served, since its caller has left by its first answer.
     timestamp deadline;
 };
 
 /// The limits of a line.
 struct waiting_line_options
 {
-    /// The part of its time, from arrival to deadline, that a call may wait.
-    double longest_wait_part = 0.35;
+    /// The part of its time, from arrival to deadline, that a call may wait. What remains is for
+    /// the refusal to reach a caller that still listens.
+    double longest_wait_part = 0.85;
     /// A call is refused on arrival when the calls before it would take this part of its time.
-    double refused_wait_part = 0.25;
+    double refused_wait_part = 0.6;
     /// The span over which starts are counted to predict waits.
     milliseconds rate_window{2000};
     /// Starts a second that are assumed before any were counted.
--- a/source/core/shell/program.cpp
+++ b/source/core/shell/program.cpp
@@ -140,7 +140,10 @@
         answer.reply(
             {is_ready ? http_ok : http_unavailable, {}, is_ready ? "ready\n" : "not ready\n"});
     else if (request.path == "/metrics")
-        answer.reply({http_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m.text()});
+        answer.reply({http_ok,
+                      {{"Content-Type", "text/plain; version=0.0.4"}},
+                      m.text() + common::concat("kqg_log_lines_dropped_total ",
+                                                common::dropped_log_lines(), "\n")});
     else
         return false;
     return true;
--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -86,7 +86,7 @@
 void attempt::take_data(std::string_view bytes)
 {
     m_last_heard = common::now();
-    m_gateway.service(m_plan.target.service).last_progress = m_last_heard;
+    m_gateway.service(m_plan.target.service).progress.note(m_last_heard);
     if (!m_is_stream)
     {
         m_body += bytes;
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds least_time_left{60};
 /// A stream is silent when it sends nothing for this long while others of its service go on.
 constexpr milliseconds stream_silence{1100};
-constexpr milliseconds others_progress{250};
+
 /// An idempotent call is sent elsewhere when it takes this many times its goal, at least.
 constexpr int goals_before_repeat = 2;
 constexpr milliseconds least_before_repeat{250};
@@ -124,7 +124,11 @@
 policy::waiting_call exchange::waiting() const
 {
     const auto usual = fleet::is_stream(m_route->kind) ? usual_first_event : milliseconds{0};
-    return {m_number, m_priority, m_arrived, m_arrived + m_route->goal - usual, m_deadline};
+    // A stream that has begun keeps its caller waiting from its last event on.
+    const auto heard = m_first_event ? common::now() : m_arrived;
+    const auto leaves = m_route->patience.count() == 0 ? m_deadline : heard + m_route->patience;
+    return {m_number, m_priority, heard, heard + m_route->goal - usual,
+            std::min(m_deadline, leaves) - usual};
 }
 
 void exchange::wait_for_place()
@@ -347,9 +351,10 @@
 bool exchange::is_stalled(const attempt& it, timestamp now) const
 {
     const auto& state = m_gateway.service(m_service);
+    // A group that stands still silences all its streams alike: none is better off elsewhere.
     if (m_route->kind == fleet::call_kind::resumable_stream)
-        return now - it.last_heard() > stream_silence &&
-               now - state.last_progress < others_progress;
+        return state.progress.is_going(now) &&
+               now - std::max(it.last_heard(), state.progress.going_since()) > stream_silence;
     const auto limit = std::max(m_route->goal * goals_before_repeat, least_before_repeat);
     return m_route->kind == fleet::call_kind::idempotent && now - it.started() > limit;
 }
@@ -395,6 +400,7 @@
     const auto now = common::now();
     m_gateway.counters().count(
         common::concat("kqg_requests_total{code=\"", common::number(code), "\"}"));
+    const auto waiting_calls = m_service.empty() ? 0 : m_gateway.service(m_service).line.size();
     m_gateway.counters().measure("kqg_request_ms", static_cast<double>(since(m_arrived, now)));
     common::log(common::log_level::info, event,
                 {{"id", m_caller.id},
@@ -408,6 +414,9 @@
                  {"first_ms", m_first_event ? since(m_arrived, *m_first_event) : -1},
                  {"events", m_events},
                  {"ms", since(m_arrived, now)},
+                 {"waiting", waiting_calls},
+                 {"targets", m_gateway.targets().usable(m_service, now).size()},
+                 {"state", m_gateway.state_revision()},
                  {"config", m_configuration ? m_configuration->version : 0}});
     if (m_attempt)
         take_back(*m_attempt);
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "io/event_loop.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
+#include "policy/progress_meter.hpp"
 #include "policy/retry_share.hpp"
 #include "policy/target_board.hpp"
 #include "policy/waiting_line.hpp"
@@ -55,8 +56,7 @@
     timestamp held_until;
     /// The group was broken, and no call has succeeded since; calls go one by one until one does.
     bool is_suspect = false;
-    /// When any target of the service last sent an event or an answer.
-    timestamp last_progress;
+    policy::progress_meter progress;
 };
 
 /// Takes callers' requests and forwards them straight to targets.
@@ -78,6 +78,8 @@
     common::metrics& counters() { return m_metrics; }
     policy::retry_share& retries() { return m_retries; }
     const fleet::target_table& targets() const { return m_follower.targets(); }
+    /// The store's revision of the state that decisions go by.
+    kv::revision state_revision() const { return m_follower.as_of(); }
     std::shared_ptr<const fleet::configuration> configuration() const
     {
         return m_follower.configuration();
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -22,11 +22,11 @@
 struct controller_options
 {
     /// Choices lose half of their weight in this time.
-    milliseconds half_life{500};
+    milliseconds half_life{300};
     /// A plan is made at most this often.
     milliseconds plan_period{150};
     /// A switch must bring the skew down by this much.
-    double least_gain = 0.06;
+    double least_gain = 0.12;
     /// Choices by expert, on average, that must be known before a plan is made.
     double least_choices_per_expert = 20;
 };
--- /dev/null
+++ b/source/unit_tests/policy/waiting_line_test.cpp
@@ -0,0 +1,164 @@
+#include "policy/waiting_line.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace kumquatgap::policy;
+
+namespace
+{
+
+constexpr milliseconds goal{280};
+constexpr milliseconds patience{1800};
+constexpr timestamp start{milliseconds{1'000'000}};
+
+/// What became of the calls of a replayed load.
+struct tally
+{
+    int in_time = 0;
+    int late = 0;
+    int refused = 0;
+    int expired = 0;
+    milliseconds longest_wait_of_refused{0};
+
+    /// A late answer earns half of one in time.
+    double worth() const { return in_time + 0.5 * late; }
+};
+
+waiting_call call_at(std::uint64_t id, timestamp at, int priority = 1)
+{
+    return {id, priority, at, at + goal, at + patience};
+}
+
+/// Arrivals of a crest: 40 calls a second, and 80 for three seconds, before targets that start 50.
+std::vector<timestamp> crest()
+{
+    std::vector<timestamp> out;
+    for (auto at = start; at < start + milliseconds{12'000};)
+    {
+        out.push_back(at);
+        const bool is_crest = at >= start + milliseconds{4000} && at < start + milliseconds{7000};
+        at += is_crest ? milliseconds{12} : milliseconds{25};
+    }
+    return out;
+}
+constexpr milliseconds start_period{20};
+
+void note_start(tally& out, timestamp arrived, timestamp now)
+{
+    ++(now <= arrived + goal ? out.in_time : out.late);
+}
+
+/// The crest with the line of this project.
+tally replay_line(const std::vector<timestamp>& arrivals)
+{
+    waiting_line line{{}};
+    tally out;
+    std::map<std::uint64_t, timestamp> arrived;
+    std::size_t next = 0;
+    for (auto now = start; now < start + milliseconds{20'000}; now += milliseconds{1})
+    {
+        for (; next < arrivals.size() && arrivals[next] <= now; ++next)
+        {
+            arrived[next] = now;
+            if (line.offer(call_at(next, now), now, 0.5))
+                ++out.refused;
+        }
+        for (const auto id : line.take_expired(now))
+        {
+            ++out.expired;
+            out.longest_wait_of_refused = std::max(out.longest_wait_of_refused, now - arrived[id]);
+        }
+        if ((now - start) % start_period != milliseconds{0})
+            continue;
+        if (const auto id = line.next(now))
+        {
+            line.started(*id, now);
+            note_start(out, arrived[*id], now);
+        }
+    }
+    return out;
+}
+
+/// The crest, first come first served, as it waits in a target's own queue.
+tally replay_fifo(const std::vector<timestamp>& arrivals)
+{
+    std::deque<timestamp> queue;
+    tally out;
+    std::size_t next = 0;
+    for (auto now = start; now < start + milliseconds{20'000}; now += milliseconds{1})
+    {
+        for (; next < arrivals.size() && arrivals[next] <= now; ++next)
+            queue.push_back(now);
+        while (!queue.empty() && now - queue.front() > patience)
+        {
+            queue.pop_front();
+            ++out.expired;
+        }
+        if ((now - start) % start_period != milliseconds{0} || queue.empty())
+            continue;
+        note_start(out, queue.front(), now);
+        queue.pop_front();
+    }
+    return out;
+}
+
+} // namespace
+
+Test(waiting_line, a_crest_delays_some_calls_and_not_all)
+{
+    const auto arrivals = crest();
+    const auto fifo = replay_fifo(arrivals);
+    const auto line = replay_line(arrivals);
+    cr_assert_gt(line.worth(), fifo.worth() * 1.1, "line %f, first in first out %f", line.worth(),
+                 fifo.worth());
+    cr_assert_gt(line.in_time, fifo.in_time);
+}
+
+Test(waiting_line, what_is_refused_has_not_waited_for_its_deadline)
+{
+    const auto line = replay_line(crest());
+    cr_assert_lt(line.longest_wait_of_refused.count(), patience.count());
+}
+
+Test(waiting_line, the_more_urgent_kind_goes_first_among_those_in_time)
+{
+    waiting_line line{{}};
+    line.offer(call_at(1, start, 3), start, 0);
+    line.offer(call_at(2, start, 0), start, 0);
+    line.offer(call_at(3, start, 3), start, 0);
+    cr_assert_eq(*line.next(start), 2U);
+    line.started(2, start);
+    cr_assert_eq(*line.next(start), 1U);
+}
+
+Test(waiting_line, late_calls_are_served_oldest_first)
+{
+    waiting_line line{{}};
+    line.offer(call_at(1, start), start, 0);
+    line.offer(call_at(2, start + milliseconds{5}), start + milliseconds{5}, 0);
+    const auto late = start + goal + milliseconds{100};
+    cr_assert_eq(*line.next(late), 1U);
+}
+
+Test(waiting_line, a_call_that_could_not_be_served_in_time_is_refused_on_arrival)
+{
+    waiting_line line{{}};
+    std::uint64_t id = 0;
+    std::set<std::int64_t> returns;
+    for (; id < 200; ++id)
+    {
+        const double draw = static_cast<double>(id % 10) / 10;
+        if (const auto after = line.offer(call_at(id, start), start, draw))
+            returns.insert(after->count());
+    }
+    cr_assert_lt(line.size(), 200U);
+    // The callers come back spread, and none later than it would wait.
+    cr_assert_geq(returns.size(), 8U);
+    cr_assert_leq(*returns.rbegin(), waiting_line_options{}.longest_retry_after.count());
+}
