Stop only once every answer has left its buffer

A closing connection was also closed one second after its answer was written, however fast its caller still read. Ruled out: drain_limit_ms (0 in the test), the relay of the agent's stream (the bytes had been written). Change: http_server::is_busy() counts arriving requests, unsent bytes and closing connections; the closing time counts from the last progress of the reader.

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -213,13 +213,13 @@
         return;
     begin_drain("signal");
     // Refusals go on until the last call has ended, so that routers learn where not to send.
-    m_idle_timer = m_loop.every(idle_check_period,
-                                [this]
-                                {
-                                    if (m_exchanges.empty() && m_ledger_work == 0 &&
-                                        m_server.open_requests() == 0)
-                                        m_loop.stop();
-                                });
+    m_idle_timer =
+        m_loop.every(idle_check_period,
+                     [this]
+                     {
+                         if (m_exchanges.empty() && m_ledger_work == 0 && !m_server.is_busy())
+                             m_loop.stop();
+                     });
     if (m_settings.drain_limit.count() > 0)
         m_limit_timer = m_loop.after(m_settings.drain_limit, [this] { m_loop.stop(); });
 }
--- a/source/core/io/http_server.cpp
+++ b/source/core/io/http_server.cpp
@@ -10,6 +10,8 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <algorithm>
+
 namespace kumquatgap::io
 {
 
@@ -158,6 +160,11 @@
         evconnlistener_free(std::exchange(m_listener, nullptr));
 }
 
+bool http_server::is_busy() const
+{
+    return std::ranges::any_of(m_connections, [](const auto& it) { return it.second->is_busy(); });
+}
+
 void http_server::accepted(evconnlistener* /*listener*/, int fd, sockaddr* /*address*/,
                            int /*size*/, void* arg)
 {
--- a/source/core/io/http_server.hpp
+++ b/source/core/io/http_server.hpp
@@ -112,9 +112,12 @@
     bool listen(std::string_view address);
     /// Closes the listening socket; open connections go on.
     void stop_listening();
-    /// Requests whose answer has not ended.
+    /// Requests whose answer has not been written to its end.
     std::size_t open_requests() const { return m_open_requests; }
     std::size_t open_connections() const { return m_connections.size(); }
+    /// True while a request is arriving, waits for its answer, or has an answer that its caller's
+    /// connection hasn't taken whole. A program that stops before loses bytes.
+    bool is_busy() const;
 
 private:
     friend class server_connection;
--- a/source/core/io/server_connection.cpp
+++ b/source/core/io/server_connection.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// How long a closing connection waits for its peer to read the last answer.
+/// How long a closing connection waits for its peer to read more of the last answer.
 constexpr common::milliseconds linger_limit{1000};
 /// Bytes that are read ahead of the request that is being answered.
 constexpr std::size_t read_ahead_bytes = std::size_t{64} << 10;
@@ -217,13 +217,26 @@
 void server_connection::linger()
 {
     m_phase = phase::lingering;
-    m_timer = m_server.m_loop.after(linger_limit, [this] { close(); });
+    await_last_bytes(unsent_bytes());
     if (unsent_bytes() == 0)
         ::shutdown(bufferevent_getfd(m_bev), SHUT_WR);
     auto* input = bufferevent_get_input(m_bev);
     evbuffer_drain(input, evbuffer_get_length(input));
 }
 
+/// Closes the connection once its peer has read nothing for the limit; `unsent` bytes are left now.
+void server_connection::await_last_bytes(std::size_t unsent)
+{
+    m_timer = m_server.m_loop.after(linger_limit,
+                                    [this, unsent]
+                                    {
+                                        const auto left = unsent_bytes();
+                                        if (left == 0 || left == unsent)
+                                            return close();
+                                        await_last_bytes(left);
+                                    });
+}
+
 void server_connection::shut()
 {
     if (std::exchange(m_counted, false))
--- a/source/core/io/server_connection.hpp
+++ b/source/core/io/server_connection.hpp
@@ -20,6 +20,8 @@
 
     void write(std::string_view bytes);
     std::size_t unsent_bytes() const;
+    /// True unless the connection waits for a request and all that was written has been sent.
+    bool is_busy() const { return m_phase != phase::idle || unsent_bytes() != 0; }
     bool keeps_alive() const { return m_reader.should_keep_alive(); }
     bool is_http_1_0() const { return m_reader.is_http_1_0(); }
     bool is_head_request() const { return m_is_head_request; }
@@ -57,6 +59,7 @@
     void refuse(const http_answer& answer);
     void time_out();
     void linger();
+    void await_last_bytes(std::size_t unsent);
     void close();
 
     http_server& m_server;
--- a/source/router/router.cpp
+++ b/source/router/router.cpp
@@ -155,7 +155,7 @@
     m_idle_timer = m_loop.every(idle_check_period,
                                 [this]
                                 {
-                                    if (m_server.open_requests() == 0)
+                                    if (!m_server.is_busy())
                                         m_loop.stop();
                                 });
 }
