Pace directives, shrink messages and plan faster, so that groups of 63 get maps

Ruled out: the store (renewals answered before and after), the ranks (12 of 63 copied and said so). Change: directive_pacer tells only agents that have not confirmed, within 800 kB/s, and a map only to ranks that lack it; maps and counts are bytes; a rank's counts go out every 7 ms x ranks, a status when it changes or every 100 ms (500 ms at rest); the planner keeps the holders of each expert; a hold that came too late is placed again twice as far ahead instead of waiting 1.5 s.

--- a/source/core/experts/agent_message.cpp
+++ b/source/core/experts/agent_message.cpp
@@ -4,7 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <array>
+#include <algorithm>
+#include <numeric>
 
 namespace kumquatgap::experts
 {
@@ -51,6 +52,104 @@
     return out;
 }
 
+/// A byte carries numbers up to this.
+constexpr int largest_byte = 255;
+constexpr unsigned bits_per_byte = 8;
+
+/// Counts travel as one byte each, in units that the largest of them fits.
+std::int64_t unit_of(const std::vector<std::vector<std::int64_t>>& counts)
+{
+    std::int64_t largest = 0;
+    for (const auto& set : counts)
+        largest = std::accumulate(set.begin(), set.end(), largest,
+                                  [](std::int64_t a, std::int64_t b) { return std::max(a, b); });
+    return std::max<std::int64_t>(1, (largest + largest_byte - 1) / largest_byte);
+}
+
+json to_json(const std::vector<std::vector<std::int64_t>>& counts, std::int64_t unit)
+{
+    json out = json::array();
+    for (const auto& set : counts)
+    {
+        json::binary_t::container_type bytes(set.size());
+        std::ranges::transform(set, bytes.begin(),
+                               [unit](std::int64_t n)
+                               { return static_cast<std::uint8_t>(n / unit); });
+        out.push_back(json::binary(std::move(bytes)));
+    }
+    return out;
+}
+
+std::vector<std::vector<std::int64_t>> counts_from(const json& it, std::int64_t unit)
+{
+    std::vector<std::vector<std::int64_t>> out;
+    out.reserve(it.size());
+    for (const auto& set : it)
+    {
+        const auto& bytes = set.get_binary();
+        auto& counts = out.emplace_back(bytes.size());
+        std::ranges::transform(bytes, counts.begin(), [unit](std::uint8_t n) { return n * unit; });
+    }
+    return out;
+}
+
+/// A map travels as one byte an expert where that is enough, else as two, the low one first.
+json to_json(const expert_map& map)
+{
+    int largest = 0;
+    for (const auto& set : map.sets)
+        for (const auto& rank : set)
+            largest = std::accumulate(rank.begin(), rank.end(), largest,
+                                      [](int a, int b) { return std::max(a, b); });
+    const bool is_wide = largest > largest_byte;
+    json sets = json::array();
+    for (const auto& set : map.sets)
+    {
+        json ranks = json::array();
+        for (const auto& rank : set)
+        {
+            json::binary_t::container_type bytes;
+            bytes.reserve(rank.size() * 2);
+            for (const int e : rank)
+            {
+                bytes.push_back(static_cast<std::uint8_t>(e & largest_byte));
+                if (is_wide)
+                    bytes.push_back(static_cast<std::uint8_t>(e >> bits_per_byte));
+            }
+            ranks.push_back(json::binary(std::move(bytes)));
+        }
+        sets.push_back(std::move(ranks));
+    }
+    return {{"wide", is_wide}, {"sets", std::move(sets)}};
+}
+
+std::vector<int> experts_from(const json::binary_t& bytes, bool is_wide)
+{
+    std::vector<int> out;
+    out.reserve(bytes.size());
+    if (!is_wide)
+    {
+        out.assign(bytes.begin(), bytes.end());
+        return out;
+    }
+    for (std::size_t i = 0; i + 1 < bytes.size(); i += 2)
+        out.push_back(bytes[i] | (bytes[i + 1] << bits_per_byte));
+    return out;
+}
+
+expert_map map_from(const json& it)
+{
+    expert_map out;
+    const bool is_wide = it.at("wide");
+    for (const auto& set : it.at("sets"))
+    {
+        auto& ranks = out.sets.emplace_back();
+        for (const auto& rank : set)
+            ranks.push_back(experts_from(rank.get_binary(), is_wide));
+    }
+    return out;
+}
+
 struct to_json_body
 {
     json operator()(const status_message& m) const
@@ -68,8 +167,10 @@
 
     json operator()(const choices_message& m) const
     {
-        return {{"kind", choices_kind}, {"epoch", m.epoch},     {"rank", m.rank},
-                {"version", m.version}, {"choices", m.choices}, {"held", m.held}};
+        const auto unit = unit_of(m.choices);
+        return {{"kind", choices_kind}, {"epoch", m.epoch}, {"rank", m.rank},
+                {"version", m.version}, {"unit", unit},     {"choices", to_json(m.choices, unit)},
+                {"held", m.held}};
     }
 
     json operator()(const directive_message& m) const
@@ -80,7 +181,7 @@
             {"agent", d.agent},       {"epoch", d.epoch}, {"phase", static_cast<int>(d.phase)},
             {"version", d.version},   {"pass", d.pass},   {"holder", d.holder}};
         if (d.map)
-            out["map"] = d.map->sets;
+            out["map"] = to_json(*d.map);
         return out;
     }
 };
@@ -99,7 +200,7 @@
     out.epoch = it.at("epoch");
     out.rank = it.at("rank");
     out.version = it.at("version");
-    out.choices = it.at("choices").get<std::vector<std::vector<std::int64_t>>>();
+    out.choices = counts_from(it.at("choices"), it.at("unit"));
     out.held = it.at("held").get<std::vector<std::vector<int>>>();
     return out;
 }
@@ -119,13 +220,26 @@
     d.pass = it.at("pass");
     d.holder = it.at("holder");
     if (it.contains("map"))
-        d.map = std::make_shared<const expert_map>(
-            expert_map{it.at("map").get<std::vector<expert_set_map>>()});
+        d.map = std::make_shared<const expert_map>(map_from(it.at("map")));
     return directive_message{std::move(d)};
 }
 
 } // namespace
 
+std::size_t message_bytes(const directive& d)
+{
+    /// Names and numbers of a directive, and of each list of experts.
+    constexpr std::size_t fixed_bytes = 200;
+    constexpr std::size_t list_bytes = 1;
+    std::size_t out = fixed_bytes;
+    if (!d.map)
+        return out;
+    for (const auto& set : d.map->sets)
+        for (const auto& rank : set)
+            out += rank.size() + list_bytes;
+    return out;
+}
+
 std::string to_bytes(const agent_message& m, std::string_view token)
 {
     auto body = std::visit(to_json_body{}, m);
--- a/source/core/experts/agent_message.hpp
+++ b/source/core/experts/agent_message.hpp
@@ -28,7 +28,7 @@
     std::int64_t epoch = 0;
     rank_number rank = 0;
     map_version version = 0;
-    /// By set and expert.
+    /// By set and expert. The message keeps them to within one part in 255 of the largest.
     std::vector<std::vector<std::int64_t>> choices;
     /// The rank's own experts by set, as of `version`.
     std::vector<std::vector<int>> held;
@@ -42,6 +42,8 @@
 
 using agent_message = std::variant<status_message, choices_message, directive_message>;
 
+/// About how many bytes a directive takes as a message.
+std::size_t message_bytes(const directive& d);
 /// The message in CBOR, with the deployment's token.
 std::string to_bytes(const agent_message& m, std::string_view token);
 /// Reads a message; none when it is malformed or has another token.
--- /dev/null
+++ b/source/core/experts/directive_pacer.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "experts/switch_message.hpp"
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace kumquatgap::experts
+{
+
+/// The rates of a pacer.
+struct pacer_options
+{
+    /// What directives may take of the controller's link: 80 % of the 8 Mbit/s of a rank's host.
+    double bytes_per_s = 800'000;
+    /// Bytes that may go out at once; a link's queue holds this much.
+    double burst_bytes = 32'000;
+    /// A rank that has not confirmed a directive is told again after this, or after the time
+    /// that telling all ranks takes, if that is longer.
+    milliseconds shortest_repeat{50};
+};
+
+/// Decides which ranks the controller tells of its directive now. Load pattern: a new map for all
+/// ranks of a large group, over a link that such a burst fills; news that are sent again
+/// before the first have arrived would keep it full and crowd out the renewal of the lease.
+class directive_pacer
+{
+public:
+    explicit directive_pacer(pacer_options options) : m_options{options} {}
+
+    /// The ranks that are to be told now, out of those that have not confirmed the directive yet,
+    /// in the order of importance. `bytes` is the size of one message.
+    std::vector<rank_number> take_due(const std::vector<rank_number>& unconfirmed,
+                                      std::int64_t directive_number, std::size_t bytes,
+                                      timestamp now);
+
+private:
+    struct telling
+    {
+        std::int64_t directive_number = 0;
+        timestamp at;
+    };
+
+    bool is_due(rank_number rank, std::int64_t directive_number, milliseconds repeat,
+                timestamp now) const;
+
+    pacer_options m_options;
+    std::map<rank_number, telling> m_told;
+    double m_allowance = 0;
+    timestamp m_filled_at;
+};
+
+} // namespace kumquatgap::experts
--- a/source/core/experts/map_planner.cpp
+++ b/source/core/experts/map_planner.cpp
@@ -29,12 +29,12 @@
     set_planner(expert_set_map current, const std::vector<double>& loads, const plan_limits& limits,
                 std::vector<std::size_t>& copies_of_rank)
         : m_before{current}, m_map{std::move(current)}, m_loads{loads}, m_limits{limits},
-          m_copies_of_rank{copies_of_rank}, m_copies(m_map.size(), 0), m_holders(loads.size(), 0)
+          m_copies_of_rank{copies_of_rank}, m_copies(m_map.size(), 0), m_holders(loads.size())
     {
-        for (const auto& rank : m_map)
+        for (std::size_t rank = 0; rank < m_map.size(); ++rank)
         {
-            for (const int e : rank)
-                ++m_holders[index(e)];
+            for (const int e : m_map[rank])
+                m_holders[index(e)].push_back(rank);
         }
         m_rank_loads = rank_loads(m_map, m_loads);
         m_mean = std::accumulate(m_rank_loads.begin(), m_rank_loads.end(), 0.0) /
@@ -82,7 +82,8 @@
                                         m_copies_of_rank[rank] < m_limits.new_per_rank);
     }
 
-    double part(int e) const { return m_loads[index(e)] / m_holders[index(e)]; }
+    double holders(int e) const { return static_cast<double>(m_holders[index(e)].size()); }
+    double part(int e) const { return m_loads[index(e)] / holders(e); }
 
     std::optional<change> best_change(std::size_t top) const
     {
@@ -115,22 +116,22 @@
     void consider_replica(std::size_t top, std::size_t rank, int e,
                           std::optional<change>& best) const
     {
-        const double after = m_loads[index(e)] / (m_holders[index(e)] + 1);
+        const double after = m_loads[index(e)] / (holders(e) + 1);
         const double top_after = m_rank_loads[top] - part(e) + after;
         if (m_map[rank].size() < m_limits.places)
             return keep_better({rank, e, {}, {}, std::max(top_after, m_rank_loads[rank] + after)},
                                best);
         for (const int out : m_map[rank])
         {
-            if (m_holders[index(out)] < 2)
+            if (holders(out) < 2)
                 continue;
-            const double others = m_loads[index(out)] / (m_holders[index(out)] - 1) - part(out);
+            const double others = m_loads[index(out)] / (holders(out) - 1) - part(out);
             double highest = std::max(top_after, m_rank_loads[rank] + after - part(out));
             if (holds(top, out))
                 highest = std::max(highest, top_after + others);
-            for (std::size_t r = 0; r < m_map.size(); ++r)
+            for (const auto r : m_holders[index(out)])
             {
-                if (r != rank && r != top && holds(r, out))
+                if (r != rank && r != top)
                     highest = std::max(highest, m_rank_loads[r] + others);
             }
             keep_better({rank, e, out, {}, highest}, best);
@@ -155,7 +156,7 @@
     void add(std::size_t rank, int e)
     {
         m_map[rank].push_back(e);
-        ++m_holders[index(e)];
+        m_holders[index(e)].push_back(rank);
         if (held_before(rank, e))
             return;
         ++m_copies[rank];
@@ -165,7 +166,7 @@
     void remove(std::size_t rank, int e)
     {
         std::erase(m_map[rank], e);
-        --m_holders[index(e)];
+        std::erase(m_holders[index(e)], rank);
         if (held_before(rank, e))
             return;
         --m_copies[rank];
@@ -191,7 +192,8 @@
     const plan_limits& m_limits;
     std::vector<std::size_t>& m_copies_of_rank;
     std::vector<std::size_t> m_copies;
-    std::vector<int> m_holders;
+    /// The ranks that hold each expert.
+    std::vector<std::vector<std::size_t>> m_holders;
     std::vector<double> m_rank_loads;
     double m_mean = 0;
 };
--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -31,6 +31,22 @@
     auto out = m_directive;
     const auto it = m_ranks.find(rank);
     out.agent = it == m_ranks.end() ? 0 : it->second.status.agent;
+    // The map is long, and of no use to a rank that has copied its experts.
+    if (it != m_ranks.end() && it->second.status.report.prepared == out.version)
+        out.map.reset();
+    return out;
+}
+
+std::vector<rank_number> switch_controller::unconfirmed_ranks() const
+{
+    std::vector<rank_number> out;
+    out.reserve(m_ranks.size());
+    for (const auto& [rank, it] : m_ranks)
+    {
+        if (!has_seen_current(it.status))
+            out.push_back(rank);
+    }
+    std::ranges::stable_partition(out, [this](rank_number it) { return it == m_directive.holder; });
     return out;
 }
 
@@ -148,25 +164,38 @@
             abandon(now);
         return;
     }
+    m_lead_passes = m_options.lead_passes;
+    m_directive.holder = m_ranks.begin()->first;
+    place_switch(now);
+}
+
+/// Asks for a hold some passes ahead of the foremost rank.
+void switch_controller::place_switch(timestamp now)
+{
     pass_number foremost = 0;
     for (const auto& [rank, it] : m_ranks)
         foremost = std::max(foremost, it.status.report.pass);
-    m_directive.pass = foremost + m_options.lead_passes;
-    m_directive.holder = m_ranks.begin()->first;
+    m_directive.pass = foremost + m_lead_passes;
     enter(switch_phase::hold, now);
 }
 
 void switch_controller::tick_hold(timestamp now)
 {
     const auto it = m_ranks.find(m_directive.holder);
-    const bool is_held = it != m_ranks.end() && has_seen_current(it->second.status) &&
-                         it->second.status.is_settled &&
-                         it->second.status.report.held == m_directive.pass;
-    if (is_held)
+    const bool is_answered =
+        it != m_ranks.end() && has_seen_current(it->second.status) && it->second.status.is_settled;
+    if (is_answered && it->second.status.report.held == m_directive.pass)
         return enter(switch_phase::arm, now);
     // Nobody is armed yet, so whatever became of the hold can be released.
     if (now - m_phase_since > m_options.longest_hold)
-        enter(switch_phase::release, now);
+        return enter(switch_phase::release, now);
+    const bool came_too_late = is_answered && !it->second.status.report.held &&
+                               it->second.status.report.pass >= m_directive.pass;
+    if (came_too_late && m_lead_passes < m_options.most_lead_passes)
+    {
+        m_lead_passes *= 2;
+        place_switch(now);
+    }
 }
 
 void switch_controller::tick_fence_holder(timestamp now)
--- a/source/core/experts/switch_controller.hpp
+++ b/source/core/experts/switch_controller.hpp
@@ -18,6 +18,8 @@
     milliseconds status_lifetime{1500};
     /// How many passes ahead of the foremost rank a switch is placed.
     pass_number lead_passes = 2;
+    /// A hold that came too late is placed again, each time twice as far ahead, up to this.
+    pass_number most_lead_passes = 16;
     /// A phase that takes longer than this is given up.
     milliseconds longest_prepare{6000};
     milliseconds longest_hold{1500};
@@ -54,6 +56,8 @@
     const directive& current() const { return m_directive; }
     /// What the rank's agent is to be told, again and again.
     directive directive_for(rank_number rank) const;
+    /// Ranks that have not said that they have the current directive; the holder comes first.
+    std::vector<rank_number> unconfirmed_ranks() const;
     /// True when all ranks are known, open, at rest and of one map, so that a switch can begin.
     bool is_at_rest(timestamp now) const;
     /// The version that all ranks have; only while at rest.
@@ -79,6 +83,7 @@
     void look_for_remains(timestamp now);
     void tick_prepare(timestamp now);
     void tick_hold(timestamp now);
+    void place_switch(timestamp now);
     void tick_fence_holder(timestamp now);
     void tick_release(timestamp now);
 
@@ -88,6 +93,8 @@
     std::int64_t m_epoch = 0;
     map_version m_highest_version = 0;
     timestamp m_phase_since;
+    /// How far ahead the current switch is placed.
+    pass_number m_lead_passes = 0;
 };
 
 } // namespace kumquatgap::experts
--- a/source/core/experts/switch_message.hpp
+++ b/source/core/experts/switch_message.hpp
@@ -110,6 +110,9 @@
     bool was_fenced = false;
 };
 
+/// True when two statuses differ in more than the pass, which grows all the time.
+bool differ(const rank_status& a, const rank_status& b);
+
 enum class order_kind : std::uint8_t
 {
     prepare,
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -31,6 +31,20 @@
     return it == m_targets.end() ? "" : it->second;
 }
 
+std::vector<group_controller::told_agent> group_controller::agents_to_tell(timestamp now)
+{
+    const auto due = m_pacer.take_due(m_switch.unconfirmed_ranks(), current().number,
+                                      experts::message_bytes(current()), now);
+    std::vector<told_agent> out;
+    out.reserve(due.size());
+    for (const auto rank : due)
+    {
+        if (const auto it = m_addresses.find(rank); it != m_addresses.end())
+            out.push_back({it->second, directive_for(rank)});
+    }
+    return out;
+}
+
 std::vector<experts::rank_number> group_controller::abandoned_ranks(timestamp now) const
 {
     using enum experts::switch_phase;
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "experts/agent_message.hpp"
+#include "experts/directive_pacer.hpp"
 #include "experts/map_planner.hpp"
 #include "experts/popularity.hpp"
 #include "experts/switch_controller.hpp"
@@ -60,8 +61,14 @@
     {
         return m_switch.directive_for(rank);
     }
-    /// Where the agents are that have reported.
-    const std::map<experts::rank_number, std::string>& addresses() const { return m_addresses; }
+    /// A directive and where the agent is that is to have it.
+    struct told_agent
+    {
+        std::string address;
+        experts::directive what;
+    };
+    /// The agents that are to be told now; those that confirm nothing are told again.
+    std::vector<told_agent> agents_to_tell(timestamp now);
     /// Where a rank itself is; empty while that is not known.
     std::string target_of(experts::rank_number rank) const;
     /// Ranks whose agents are silent while the group may be held.
@@ -76,6 +83,7 @@
 
     controller_options m_options;
     experts::switch_controller m_switch;
+    experts::directive_pacer m_pacer{experts::pacer_options{}};
     experts::popularity m_popularity;
     std::optional<fleet::engine_profile> m_engine;
     std::map<experts::rank_number, std::string> m_addresses;
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -20,6 +20,12 @@
 constexpr milliseconds report_period{250};
 constexpr milliseconds copy_report_period{75};
 constexpr milliseconds choices_period{150};
+/// A group's controller gets one message on choices in this time, however many ranks there are;
+/// 2.3 kB each are a third of its link of 8 Mbit/s.
+constexpr milliseconds choices_spacing{7};
+/// A state that has not changed is told again after this, at rest and in a switch.
+constexpr milliseconds rest_status_period{500};
+constexpr milliseconds switch_status_period{100};
 constexpr milliseconds rank_timeout{1000};
 /// How often the operators' configuration is read until it names the group's engines.
 constexpr milliseconds engine_period{1000};
@@ -151,10 +157,26 @@
     if (r->version != m_held.version || r->epoch != m_held_epoch)
         read_held();
     carry_out_order();
+    tell_status(common::now());
+}
+
+/// Tells the controller of the rank's state when that has changed, and else from time to time.
+void rank_agent::tell_status(timestamp now)
+{
     const auto& leader = m_leadership.leader_address();
-    if (!leader.empty())
-        send(leader, experts::status_message{m_settings.common.control_address, m_settings.target,
-                                             m_driver.status(common::now())});
+    if (leader.empty())
+        return;
+    const auto status = m_driver.status(now);
+    const bool is_at_rest = m_driver.current().phase == experts::switch_phase::rest;
+    const auto period = is_at_rest ? rest_status_period : switch_status_period;
+    const bool is_news = leader != m_told_leader || experts::differ(status, m_told_status);
+    if (!is_news && now - m_status_told < period)
+        return;
+    m_told_leader = leader;
+    m_told_status = status;
+    m_status_told = now;
+    send(leader,
+         experts::status_message{m_settings.common.control_address, m_settings.target, status});
 }
 
 void rank_agent::carry_out_order()
@@ -252,6 +274,11 @@
     if (leader.empty() || !m_driver.has_report() || m_held_epoch != m_driver.report().epoch)
         return;
     const auto& r = m_driver.report();
+    const auto now = common::now();
+    // The news of a large group are a sample: each rank sends what was chosen last.
+    if (now - m_choices_told < choices_spacing * r.size)
+        return;
+    m_choices_told = now;
     send(leader, experts::choices_message{r.epoch, r.rank, m_held.version, std::move(choices),
                                           m_held.sets});
 }
@@ -289,21 +316,11 @@
         m_controller = std::make_unique<group_controller>(*token, controller_options{});
     if (!m_controller->has_engine() && now - m_engine_asked >= engine_period)
         read_engine(now);
-    const auto before = m_controller->current().number;
     m_controller->tick(now);
-    const auto& d = m_controller->current();
-    if (d.phase == experts::switch_phase::rest)
+    if (m_controller->current().phase == experts::switch_phase::rest)
         m_remote_ranks.clear();
-    // A directive is repeated until the phase is over, since messages may be lost.
-    if (d.number != before || d.phase != experts::switch_phase::rest)
-        tell_ranks(now);
-}
-
-void rank_agent::tell_ranks(timestamp now)
-{
-    const auto addresses = m_controller->addresses();
-    for (const auto& [rank, address] : addresses)
-        send(address, experts::directive_message{m_controller->directive_for(rank)});
+    for (const auto& it : m_controller->agents_to_tell(now))
+        send(it.address, experts::directive_message{it.what});
     stand_in_for_agents(now);
 }
 
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -60,6 +60,7 @@
     void send(const std::string& address, const experts::agent_message& m);
     void tick();
     void read_report();
+    void tell_status(common::timestamp now);
     void report_read(const std::optional<experts::rank_report>& r);
     void read_choices();
     void choices_read(const choice_counts& counts);
@@ -68,7 +69,6 @@
     void carry_out_order();
     void lead(common::timestamp now);
     void read_engine(common::timestamp now);
-    void tell_ranks(common::timestamp now);
     void stand_in_for_agents(common::timestamp now);
     void begin_shutdown();
 
@@ -90,6 +90,11 @@
     std::int64_t m_held_epoch = -1;
     common::timestamp m_report_asked;
     common::timestamp m_choices_asked;
+    common::timestamp m_choices_told;
+    /// What the controller was told last, when, and which one it was.
+    experts::rank_status m_told_status;
+    common::timestamp m_status_told;
+    std::string m_told_leader;
     common::timestamp m_engine_asked;
     io::call_handle m_report_call;
     io::call_handle m_choices_call;
--- /dev/null
+++ b/source/unit_tests/experts/agent_message_test.cpp
@@ -0,0 +1,87 @@
+#include "experts/agent_message.hpp"
+
+#include <criterion/criterion.h>
+
+#include <cmath>
+
+using namespace kumquatgap::experts;
+
+namespace
+{
+
+/// A map of one set whose ranks hold the given experts.
+std::shared_ptr<const expert_map> map_of(std::vector<std::vector<int>> ranks)
+{
+    return std::make_shared<const expert_map>(expert_map{{expert_set_map(std::move(ranks))}});
+}
+
+expert_map sent_and_read(const std::shared_ptr<const expert_map>& map)
+{
+    directive d;
+    d.token = 7;
+    d.phase = switch_phase::prepare;
+    d.map = map;
+    const auto m = from_bytes(to_bytes(directive_message{d}, "token"), "token");
+    cr_assert(m && std::holds_alternative<directive_message>(*m));
+    const auto& read = std::get<directive_message>(*m).what;
+    cr_assert_eq(read.token, 7);
+    cr_assert_not_null(read.map.get());
+    return *read.map;
+}
+
+} // namespace
+
+Test(agent_message, carries_maps_of_few_and_of_many_experts)
+{
+    for (const auto& map : {map_of({{0, 255, 3}, {}, {17}}), map_of({{0, 256, 3}, {}, {65535}})})
+        cr_assert(sent_and_read(map).sets == map->sets);
+}
+
+Test(agent_message, takes_one_byte_for_each_expert_of_a_large_group)
+{
+    constexpr int ranks = 63;
+    constexpr int sets = 8;
+    constexpr std::size_t most_bytes = 4000;
+    expert_map map;
+    map.sets.assign(sets, expert_set_map(ranks, std::vector<int>{50, 100, 150, 200, 251}));
+    directive d;
+    d.map = std::make_shared<const expert_map>(map);
+    const auto bytes = to_bytes(directive_message{d}, "token").size();
+    cr_assert_lt(bytes, most_bytes);
+    cr_assert_leq(bytes, message_bytes(d) * 5 / 4);
+}
+
+Test(agent_message, keeps_counts_to_a_part_in_255_of_the_largest)
+{
+    choices_message m;
+    m.rank = 3;
+    m.choices = {{0, 1, 1'000'000}, {500'000, 3921, 7}};
+    const auto read = from_bytes(to_bytes(m, "token"), "token");
+    cr_assert(read && std::holds_alternative<choices_message>(*read));
+    const auto& out = std::get<choices_message>(*read).choices;
+    cr_assert_eq(out.size(), m.choices.size());
+    for (std::size_t s = 0; s < out.size(); ++s)
+    {
+        cr_assert_eq(out[s].size(), m.choices[s].size());
+        for (std::size_t e = 0; e < out[s].size(); ++e)
+            cr_assert_leq(std::abs(out[s][e] - m.choices[s][e]), 1'000'000 / 255 + 1);
+    }
+}
+
+Test(agent_message, keeps_small_counts_as_they_are)
+{
+    choices_message m;
+    m.choices = {{0, 1, 255}};
+    const auto read = from_bytes(to_bytes(m, "token"), "token");
+    cr_assert(std::get<choices_message>(*read).choices == m.choices);
+}
+
+Test(agent_message, refuses_another_token_and_cut_messages)
+{
+    directive d;
+    d.map = map_of({{1, 2}});
+    const auto bytes = to_bytes(directive_message{d}, "token");
+    cr_assert(!from_bytes(bytes, "other"));
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        cr_assert(!from_bytes(std::string_view{bytes}.substr(0, n), "token"));
+}
--- /dev/null
+++ b/source/unit_tests/experts/switch_controller_test.cpp
@@ -0,0 +1,121 @@
+#include "experts/switch_controller.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace kumquatgap::experts;
+
+namespace
+{
+
+constexpr int ranks = 3;
+
+/// A controller, and ranks that report whatever a test wants.
+struct group
+{
+    switch_controller controller{5, {}};
+    std::vector<rank_status> statuses = std::vector<rank_status>(ranks);
+    timestamp now = timestamp{} + std::chrono::hours{1};
+
+    group()
+    {
+        for (int i = 0; i < ranks; ++i)
+        {
+            auto& it = statuses[static_cast<std::size_t>(i)];
+            it.report.group = "g";
+            it.report.epoch = 1;
+            it.report.rank = i;
+            it.report.size = ranks;
+            it.report.is_open = true;
+            it.report.pass = 10;
+            it.agent = 100 + i;
+            it.is_settled = true;
+        }
+    }
+
+    /// All ranks report that they have the current directive.
+    void report_all()
+    {
+        now += milliseconds{25};
+        // New agents raise the directive's number, so all say it twice.
+        for (int i = 0; i < 2; ++i)
+        {
+            for (auto& it : statuses)
+            {
+                it.directive_token = controller.current().token;
+                it.directive_number = controller.current().number;
+                controller.take(it, now);
+            }
+        }
+        controller.tick(now);
+    }
+
+    /// Brings a switch to the point where a hold is asked for.
+    void begin_hold()
+    {
+        report_all();
+        const auto map = std::make_shared<const expert_map>(expert_map{{{{0}, {1}, {2}}}});
+        cr_assert(controller.propose(map, now));
+        for (auto& it : statuses)
+            it.report.prepared = controller.current().version;
+        report_all();
+        cr_assert(controller.current().phase == switch_phase::hold);
+    }
+};
+
+} // namespace
+
+Test(switch_controller, places_a_hold_that_came_too_late_further_ahead)
+{
+    group g;
+    g.begin_hold();
+    const auto first = g.controller.current().pass;
+    // The pass has begun before the order arrived, so that the holder refused it.
+    for (auto& it : g.statuses)
+        it.report.pass = first;
+    g.report_all();
+    cr_assert(g.controller.current().phase == switch_phase::hold);
+    cr_assert_gt(g.controller.current().pass, first + switch_options{}.lead_passes);
+}
+
+Test(switch_controller, waits_while_the_order_may_still_be_carried_out)
+{
+    group g;
+    g.begin_hold();
+    const auto first = g.controller.current().pass;
+    for (auto& it : g.statuses)
+    {
+        it.report.pass = first;
+        it.is_settled = false;
+    }
+    g.report_all();
+    cr_assert_eq(g.controller.current().pass, first);
+}
+
+Test(switch_controller, asks_only_ranks_that_have_not_confirmed_and_the_holder_first)
+{
+    group g;
+    g.begin_hold();
+    const auto all = g.controller.unconfirmed_ranks();
+    cr_assert_eq(all.size(), static_cast<std::size_t>(ranks));
+    cr_assert_eq(all.front(), g.controller.current().holder);
+    auto& it = g.statuses.front();
+    it.directive_number = g.controller.current().number;
+    g.controller.take(it, g.now);
+    const auto rest = g.controller.unconfirmed_ranks();
+    cr_assert_eq(rest.size(), static_cast<std::size_t>(ranks - 1));
+    cr_assert(std::ranges::find(rest, 0) == rest.end());
+}
+
+Test(switch_controller, sends_the_map_only_to_ranks_that_lack_it)
+{
+    group g;
+    g.report_all();
+    const auto map = std::make_shared<const expert_map>(expert_map{{{{0}, {1}, {2}}}});
+    cr_assert(g.controller.propose(map, g.now));
+    g.statuses[1].report.prepared = g.controller.current().version;
+    g.controller.take(g.statuses[1], g.now);
+    cr_assert_null(g.controller.directive_for(1).map.get());
+    cr_assert_not_null(g.controller.directive_for(2).map.get());
+}
