Pass directives on through agents, and move a switch on as statuses come

Cause: on the grown sites experts shift every 2.1 to 2.7 s and a switch took 0.43 s: 0.24 s to send a map of 3 kB to 63 agents over 8 Mbit/s, up to 75 ms until agents looked at their copies, and each phase waited for the controller's tick of 25 ms, three of them while the group was held, so that one pass of each switch missed the pause that streams allow (150 ms) for all of them at once. Ruled out: copying (4 experts of 14 ms a rank), planning (45 ms), the store (no call on the path). Change: a directive that does not fit the link at once goes to eight agents that pass it on to seven each, and directly to whoever does not confirm; agents look every 25 ms while they copy; a status moves the switch on at once; a hold is told to its holder only.

--- a/source/core/experts/agent_message.cpp
+++ b/source/core/experts/agent_message.cpp
@@ -182,6 +182,8 @@
             {"version", d.version},   {"pass", d.pass},   {"holder", d.holder}};
         if (d.map)
             out["map"] = to_json(*d.map);
+        for (const auto& it : m.pass_on)
+            out["pass_on"].push_back({it.address, it.agent});
         return out;
     }
 };
@@ -221,7 +223,10 @@
     d.holder = it.at("holder");
     if (it.contains("map"))
         d.map = std::make_shared<const expert_map>(map_from(it.at("map")));
-    return directive_message{std::move(d)};
+    directive_message out{std::move(d)};
+    for (const auto& other : it.value("pass_on", json::array()))
+        out.pass_on.push_back({other.at(0), other.at(1)});
+    return out;
 }
 
 } // namespace
--- a/source/core/experts/agent_message.hpp
+++ b/source/core/experts/agent_message.hpp
@@ -34,10 +34,19 @@
     std::vector<std::vector<int>> held;
 };
 
-/// What the controller wants, for an agent.
+/// Another agent that a directive is for.
+struct other_agent
+{
+    std::string address;
+    /// Its number, see directive::agent.
+    std::int64_t agent = 0;
+};
+
+/// What the controller wants, for an agent, and for others that this one passes it on to.
 struct directive_message
 {
     directive what;
+    std::vector<other_agent> pass_on = {};
 };
 
 using agent_message = std::variant<status_message, choices_message, directive_message>;
--- a/source/core/experts/directive_pacer.cpp
+++ b/source/core/experts/directive_pacer.cpp
@@ -20,30 +20,43 @@
            now - it->second.at >= repeat;
 }
 
-std::vector<rank_number> directive_pacer::take_due(const std::vector<rank_number>& unconfirmed,
-                                                   std::int64_t directive_number, std::size_t bytes,
-                                                   timestamp now)
+std::vector<telling> directive_pacer::take_due(const std::vector<rank_number>& unconfirmed,
+                                               std::int64_t directive_number, std::size_t bytes,
+                                               timestamp now)
 {
     const auto size = static_cast<double>(bytes);
     const auto passed_ms = static_cast<double>((now - m_filled_at).count());
     m_filled_at = now;
     m_allowance =
         std::min(m_options.burst_bytes, m_allowance + passed_ms / ms_per_s * m_options.bytes_per_s);
-    const auto all_ms =
-        size * static_cast<double>(unconfirmed.size()) / m_options.bytes_per_s * ms_per_s;
-    const auto repeat =
-        std::max(m_options.shortest_repeat, milliseconds{static_cast<std::int64_t>(all_ms)});
-    std::vector<rank_number> out;
+    const auto all_bytes = size * static_cast<double>(unconfirmed.size());
+    const milliseconds all_time{
+        static_cast<std::int64_t>(all_bytes / m_options.bytes_per_s * ms_per_s)};
+    const auto repeat = std::max(m_options.shortest_repeat, all_time);
+    const bool is_news = std::ranges::none_of(
+        unconfirmed,
+        [&](rank_number it)
+        {
+            const auto told = m_told.find(it);
+            return told != m_told.end() && told->second.directive_number == directive_number;
+        });
+    const auto fan = is_news && all_bytes > m_options.burst_bytes ? m_options.relay_fan : 0;
+    std::vector<telling> out;
     for (const auto rank : unconfirmed)
     {
-        if (m_allowance <= 0)
-            break;
         if (!is_due(rank, directive_number, repeat, now))
             continue;
-        // A message that is larger than what is left goes out and is paid for afterwards.
-        m_allowance -= size;
-        m_told.insert_or_assign(rank, telling{directive_number, now});
-        out.push_back(rank);
+        if (!out.empty() && out.back().passed_on.size() < fan)
+            out.back().passed_on.push_back(rank);
+        else if (m_allowance <= 0)
+            break;
+        else
+        {
+            // A message that is larger than what is left goes out and is paid for afterwards.
+            m_allowance -= size;
+            out.push_back({rank, {}});
+        }
+        m_told.insert_or_assign(rank, last_telling{directive_number, now});
     }
     return out;
 }
--- a/source/core/experts/directive_pacer.hpp
+++ b/source/core/experts/directive_pacer.hpp
@@ -19,11 +19,22 @@
     /// A rank that has not confirmed a directive is told again after this, or after the time
     /// that telling all ranks takes, if that is longer.
     milliseconds shortest_repeat{50};
+    /// Ranks that one agent passes a directive on to.
+    std::size_t relay_fan = 7;
+};
+
+/// A rank that is told of a directive, and those that its agent passes it on to.
+struct telling
+{
+    rank_number rank = 0;
+    std::vector<rank_number> passed_on;
 };
 
 /// Decides which ranks the controller tells of its directive now. Load pattern: a new map for all
 /// ranks of a large group, over a link that such a burst fills; news that are sent again
-/// before the first have arrived would keep it full and crowd out the renewal of the lease.
+/// before the first have arrived would keep it full and crowd out the renewal of the lease. A
+/// directive that doesn't fit the link at once goes out through agents that pass it on; whoever
+/// does not confirm it in time is told directly.
 class directive_pacer
 {
 public:
@@ -31,12 +42,11 @@
 
     /// The ranks that are to be told now, out of those that have not confirmed the directive yet,
     /// in the order of importance. `bytes` is the size of one message.
-    std::vector<rank_number> take_due(const std::vector<rank_number>& unconfirmed,
-                                      std::int64_t directive_number, std::size_t bytes,
-                                      timestamp now);
+    std::vector<telling> take_due(const std::vector<rank_number>& unconfirmed,
+                                  std::int64_t directive_number, std::size_t bytes, timestamp now);
 
 private:
-    struct telling
+    struct last_telling
     {
         std::int64_t directive_number = 0;
         timestamp at;
@@ -46,7 +56,7 @@
                 timestamp now) const;
 
     pacer_options m_options;
-    std::map<rank_number, telling> m_told;
+    std::map<rank_number, last_telling> m_told;
     double m_allowance = 0;
     timestamp m_filled_at;
 };
--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -43,7 +43,9 @@
     out.reserve(m_ranks.size());
     for (const auto& [rank, it] : m_ranks)
     {
-        if (!has_seen_current(it.status))
+        const bool is_concerned =
+            m_directive.phase != switch_phase::hold || rank == m_directive.holder;
+        if (is_concerned && !has_seen_current(it.status))
             out.push_back(rank);
     }
     std::ranges::stable_partition(out, [this](rank_number it) { return it == m_directive.holder; });
--- a/source/core/experts/switch_controller.hpp
+++ b/source/core/experts/switch_controller.hpp
@@ -56,7 +56,8 @@
     const directive& current() const { return m_directive; }
     /// What the rank's agent is to be told, again and again.
     directive directive_for(rank_number rank) const;
-    /// Ranks that have not said that they have the current directive; the holder comes first.
+    /// Ranks that have not said that they have the current directive and are to have it. The holder
+    /// comes first, and is alone while a hold is asked for, which concerns nobody else.
     std::vector<rank_number> unconfirmed_ranks() const;
     /// True when all ranks are known, open, at rest and of one map, so that a switch can begin.
     bool is_at_rest(timestamp now) const;
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -37,10 +37,15 @@
                                       experts::message_bytes(current()), now);
     std::vector<told_agent> out;
     out.reserve(due.size());
-    for (const auto rank : due)
+    for (const auto& it : due)
     {
-        if (const auto it = m_addresses.find(rank); it != m_addresses.end())
-            out.push_back({it->second, directive_for(rank)});
+        experts::directive_message m{directive_for(it.rank)};
+        // Those that it is passed on to may lack the map, whether the first has it or not.
+        if (!it.passed_on.empty())
+            m.what.map = current().map;
+        for (const auto other : it.passed_on)
+            m.pass_on.push_back({m_addresses[other], directive_for(other).agent});
+        out.push_back({m_addresses[it.rank], std::move(m)});
     }
     return out;
 }
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -65,7 +65,7 @@
     struct told_agent
     {
         std::string address;
-        experts::directive what;
+        experts::directive_message what;
     };
     /// The agents that are to be told now; those that confirm nothing are told again.
     std::vector<told_agent> agents_to_tell(timestamp now);
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -15,10 +15,8 @@
 {
 
 constexpr milliseconds tick_period{25};
-/// How often the rank is asked for its state at rest and while it copies experts; in the rest of a
-/// switch it is asked at each tick.
+/// How often the rank is asked for its state at rest; in a switch it is asked at each tick.
 constexpr milliseconds report_period{250};
-constexpr milliseconds copy_report_period{75};
 constexpr milliseconds choices_period{150};
 /// A group's controller gets one message on choices in this time, however many ranks there are;
 /// 2.3 kB each are a third of its link of 8 Mbit/s.
@@ -29,8 +27,9 @@
 constexpr milliseconds rank_timeout{1000};
 /// How often the operators' configuration is read until it names the group's engines.
 constexpr milliseconds engine_period{1000};
-/// An order without an answer for this long is taken as unknown.
-constexpr milliseconds order_timeout{250};
+/// An order without an answer for this long is taken as unknown; ranks on the same host answer in
+/// a few milliseconds.
+constexpr milliseconds order_timeout{80};
 /// A controller that is told to stop ends its switch first, for up to this long.
 constexpr milliseconds longest_shutdown{3000};
 
@@ -117,7 +116,11 @@
         return;
     // The rank's own agent is back.
     m_remote_ranks.erase(m.status.report.rank);
-    m_controller->take(m, common::now());
+    const auto now = common::now();
+    m_controller->take(m, now);
+    // The group may stand while a switch is under way, so no time is lost until the next tick.
+    if (m_controller->current().phase != experts::switch_phase::rest)
+        move_switch_on(now);
 }
 
 void rank_agent::take(const experts::choices_message& m)
@@ -128,6 +131,12 @@
 
 void rank_agent::take(const experts::directive_message& m)
 {
+    auto passed_on = m.what;
+    for (const auto& it : m.pass_on)
+    {
+        passed_on.agent = it.agent;
+        send(it.address, experts::directive_message{passed_on});
+    }
     const auto before = m_driver.current().number;
     m_driver.take(m.what);
     if (m_driver.current().number != before)
@@ -316,12 +325,17 @@
         m_controller = std::make_unique<group_controller>(*token, controller_options{});
     if (!m_controller->has_engine() && now - m_engine_asked >= engine_period)
         read_engine(now);
+    move_switch_on(now);
+    stand_in_for_agents(now);
+}
+
+void rank_agent::move_switch_on(timestamp now)
+{
     m_controller->tick(now);
     if (m_controller->current().phase == experts::switch_phase::rest)
         m_remote_ranks.clear();
     for (const auto& it : m_controller->agents_to_tell(now))
-        send(it.address, experts::directive_message{it.what});
-    stand_in_for_agents(now);
+        send(it.address, it.what);
 }
 
 /// A frozen agent would keep the group held until it wakes, so its rank is driven from here.
@@ -354,13 +368,9 @@
 {
     const auto now = common::now();
     lead(now);
-    const auto phase = m_driver.current().phase;
     const bool is_armed = m_driver.has_report() && m_driver.report().armed;
-    auto period = tick_period;
-    if (phase == experts::switch_phase::prepare)
-        period = copy_report_period;
-    else if (phase == experts::switch_phase::rest && !is_armed)
-        period = report_period;
+    const bool is_at_rest = m_driver.current().phase == experts::switch_phase::rest && !is_armed;
+    const auto period = is_at_rest ? report_period : tick_period;
     if (!m_report_call && !m_order_call && now - m_report_asked >= period)
         read_report();
     if (!m_choices_call && now - m_choices_asked >= choices_period)
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -68,6 +68,7 @@
     void send_choices(std::vector<std::vector<std::int64_t>> choices);
     void carry_out_order();
     void lead(common::timestamp now);
+    void move_switch_on(common::timestamp now);
     void read_engine(common::timestamp now);
     void stand_in_for_agents(common::timestamp now);
     void begin_shutdown();
