Let streams share an engine only as far as their pauses allow, and spare slow ranks

Ruled out: the switch (9 ms hold, 35 ms arm after the last commit), queues in the engines (10 streams a rank). Change: policy/engine_pace predicts a pass from the published figures and a factor measured from the pauses of all streams, and limits streams an engine; the time to a first event is measured; a slow rank is told to gateways by its agent through the store (under a lease) and gets the streams it can do in the others' time, and the planner weighs loads by pace and lets a rank give up experts that others hold.

--- a/source/core/experts/expert_map.cpp
+++ b/source/core/experts/expert_map.cpp
@@ -28,16 +28,22 @@
     return out;
 }
 
-double skew(const expert_map& map, const expert_loads& loads)
+double pace_of(const rank_paces& paces, std::size_t rank)
+{
+    return rank < paces.size() ? paces[rank] : 1;
+}
+
+double skew(const expert_map& map, const expert_loads& loads, const rank_paces& paces)
 {
     double sum = 0;
     for (std::size_t s = 0; s < map.sets.size(); ++s)
     {
         const auto by_rank = rank_loads(map.sets[s], loads[s]);
         const double total = std::accumulate(by_rank.begin(), by_rank.end(), 0.0);
-        sum += total == 0 ? 1
-                          : *std::ranges::max_element(by_rank) *
-                                static_cast<double>(by_rank.size()) / total;
+        double longest = 0;
+        for (std::size_t r = 0; r < by_rank.size(); ++r)
+            longest = std::max(longest, by_rank[r] * pace_of(paces, r));
+        sum += total == 0 ? 1 : longest * static_cast<double>(by_rank.size()) / total;
     }
     return map.sets.empty() ? 1 : sum / static_cast<double>(map.sets.size());
 }
--- a/source/core/experts/map_planner.cpp
+++ b/source/core/experts/map_planner.cpp
@@ -11,12 +11,12 @@
 namespace
 {
 
-/// A change that puts an expert onto a rank. With `removed`, that expert leaves the rank, and with
-/// `back_to`, it moves to the rank that the expert came from, which gives the expert up.
+/// A change that puts an expert onto a rank, takes one off, or both. With `exchanged_with`, the one
+/// that is taken off moves to that rank, which gives up the one that is put on.
 struct change
 {
     std::size_t rank = 0;
-    int added = 0;
+    std::optional<int> added;
     std::optional<int> removed;
     std::optional<std::size_t> exchanged_with;
     double highest_after = 0;
@@ -27,9 +27,10 @@
 {
 public:
     set_planner(expert_set_map current, const std::vector<double>& loads, const plan_limits& limits,
-                std::vector<std::size_t>& copies_of_rank)
+                const rank_paces& paces, std::vector<std::size_t>& copies_of_rank)
         : m_before{current}, m_map{std::move(current)}, m_loads{loads}, m_limits{limits},
-          m_copies_of_rank{copies_of_rank}, m_copies(m_map.size(), 0), m_holders(loads.size())
+          m_paces{paces}, m_copies_of_rank{copies_of_rank}, m_copies(m_map.size(), 0),
+          m_holders(loads.size())
     {
         for (std::size_t rank = 0; rank < m_map.size(); ++rank)
         {
@@ -46,7 +47,7 @@
         for (std::size_t i = 0; i < m_limits.changes_per_set && m_mean > 0; ++i)
         {
             const auto top = most_loaded();
-            if (m_rank_loads[top] <= m_mean * m_limits.even_enough)
+            if (time_of(top, m_rank_loads[top]) <= m_mean * m_limits.even_enough)
                 break;
             const auto best = best_change(top);
             if (!best)
@@ -59,10 +60,18 @@
 private:
     static std::size_t index(int e) { return static_cast<std::size_t>(e); }
 
+    /// How long a rank takes for a load, in the unit of loads.
+    double time_of(std::size_t rank, double load) const { return load * pace_of(m_paces, rank); }
+
     std::size_t most_loaded() const
     {
-        return static_cast<std::size_t>(std::ranges::max_element(m_rank_loads) -
-                                        m_rank_loads.begin());
+        std::size_t out = 0;
+        for (std::size_t r = 1; r < m_rank_loads.size(); ++r)
+        {
+            if (time_of(r, m_rank_loads[r]) > time_of(out, m_rank_loads[out]))
+                out = r;
+        }
+        return out;
     }
 
     bool holds(std::size_t rank, int e) const
@@ -88,9 +97,10 @@
     std::optional<change> best_change(std::size_t top) const
     {
         std::optional<change> best;
-        const double now = m_rank_loads[top];
+        const double now = time_of(top, m_rank_loads[top]);
         for (const int e : m_map[top])
         {
+            consider_giving_up(top, e, best);
             for (std::size_t rank = 0; rank < m_map.size(); ++rank)
             {
                 if (rank == top || holds(rank, e) || !can_take(rank, e))
@@ -112,6 +122,21 @@
             best = c;
     }
 
+    /// The rank no longer holds an expert that others hold too.
+    void consider_giving_up(std::size_t top, int e, std::optional<change>& best) const
+    {
+        if (holders(e) < 2)
+            return;
+        double highest = time_of(top, m_rank_loads[top] - part(e));
+        const double others = m_loads[index(e)] / (holders(e) - 1) - part(e);
+        for (const auto r : m_holders[index(e)])
+        {
+            if (r != top)
+                highest = std::max(highest, time_of(r, m_rank_loads[r] + others));
+        }
+        keep_better({top, {}, e, {}, highest}, best);
+    }
+
     /// A further holder of the expert, in a free place or in that of one that others hold too.
     void consider_replica(std::size_t top, std::size_t rank, int e,
                           std::optional<change>& best) const
@@ -119,20 +144,26 @@
         const double after = m_loads[index(e)] / (holders(e) + 1);
         const double top_after = m_rank_loads[top] - part(e) + after;
         if (m_map[rank].size() < m_limits.places)
-            return keep_better({rank, e, {}, {}, std::max(top_after, m_rank_loads[rank] + after)},
-                               best);
+            return keep_better(
+                {rank,
+                 e,
+                 {},
+                 {},
+                 std::max(time_of(top, top_after), time_of(rank, m_rank_loads[rank] + after))},
+                best);
         for (const int out : m_map[rank])
         {
             if (holders(out) < 2)
                 continue;
             const double others = m_loads[index(out)] / (holders(out) - 1) - part(out);
-            double highest = std::max(top_after, m_rank_loads[rank] + after - part(out));
+            double highest = std::max(time_of(top, top_after),
+                                      time_of(rank, m_rank_loads[rank] + after - part(out)));
             if (holds(top, out))
-                highest = std::max(highest, top_after + others);
+                highest = std::max(highest, time_of(top, top_after + others));
             for (const auto r : m_holders[index(out)])
             {
                 if (r != rank && r != top)
-                    highest = std::max(highest, m_rank_loads[r] + others);
+                    highest = std::max(highest, time_of(r, m_rank_loads[r] + others));
             }
             keep_better({rank, e, out, {}, highest}, best);
         }
@@ -147,9 +178,10 @@
             if (holds(top, out) || !can_take(top, out) || part(out) >= part(e))
                 continue;
             const double gain = part(e) - part(out);
-            keep_better(
-                {rank, e, out, top, std::max(m_rank_loads[top] - gain, m_rank_loads[rank] + gain)},
-                best);
+            keep_better({rank, e, out, top,
+                         std::max(time_of(top, m_rank_loads[top] - gain),
+                                  time_of(rank, m_rank_loads[rank] + gain))},
+                        best);
         }
     }
 
@@ -179,10 +211,11 @@
             remove(c.rank, *c.removed);
         if (c.exchanged_with)
         {
-            remove(*c.exchanged_with, c.added);
+            remove(*c.exchanged_with, *c.added);
             add(*c.exchanged_with, *c.removed);
         }
-        add(c.rank, c.added);
+        if (c.added)
+            add(c.rank, *c.added);
         m_rank_loads = rank_loads(m_map, m_loads);
     }
 
@@ -190,6 +223,7 @@
     expert_set_map m_map;
     const std::vector<double>& m_loads;
     const plan_limits& m_limits;
+    const rank_paces& m_paces;
     std::vector<std::size_t>& m_copies_of_rank;
     std::vector<std::size_t> m_copies;
     /// The ranks that hold each expert.
@@ -200,7 +234,8 @@
 
 } // namespace
 
-expert_map improve(const expert_map& current, const expert_loads& loads, const plan_limits& limits)
+expert_map improve(const expert_map& current, const expert_loads& loads, const plan_limits& limits,
+                   const rank_paces& paces)
 {
     expert_map out = current;
     if (current.empty())
@@ -214,7 +249,7 @@
         highest.push_back(std::ranges::max(rank_loads(current.sets[s], loads[s])));
     std::ranges::sort(order, std::greater{}, [&](std::size_t s) { return highest[s]; });
     for (const auto s : order)
-        out.sets[s] = set_planner{current.sets[s], loads[s], limits, copies_of_rank}.run();
+        out.sets[s] = set_planner{current.sets[s], loads[s], limits, paces, copies_of_rank}.run();
     return out;
 }
 
--- a/source/core/experts/map_planner.hpp
+++ b/source/core/experts/map_planner.hpp
@@ -21,11 +21,12 @@
 };
 
 /// Improves a map step by step. Load pattern: a few experts get a large part of the tokens, and
-/// which ones they are drifts and jumps; lock-step makes all ranks wait for the most loaded one.
-/// Each step takes load off the most loaded rank of a set: it gives one of its experts a further
-/// replica at another rank, in a free place or in that of an expert that stays held elsewhere, or
-/// exchanges two experts. What is not worth its copy is left as it is, so that a plan is a few
-/// copies and not a new map.
-expert_map improve(const expert_map& current, const expert_loads& loads, const plan_limits& limits);
+/// which ones they are drifts and jumps, and a host may turn slow; lock-step makes all ranks wait
+/// for the one that takes longest. Each step takes load off that rank of a set: it gives one of its
+/// experts a further replica at another rank, in a free place or in that of an expert that stays
+/// held elsewhere, exchanges two experts, or gives one up that others hold. What is not worth its
+/// copy is left as it is, so that a plan is a few copies and not a new map.
+expert_map improve(const expert_map& current, const expert_loads& loads, const plan_limits& limits,
+                   const rank_paces& paces = {});
 
 } // namespace kumquatgap::experts
--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -110,6 +110,20 @@
     return m_ranks.empty() ? 0 : m_ranks.begin()->second.status.report.version;
 }
 
+rank_paces switch_controller::paces() const
+{
+    rank_paces out;
+    out.reserve(m_ranks.size());
+    for (const auto& [rank, it] : m_ranks)
+    {
+        const auto index = static_cast<std::size_t>(rank);
+        if (out.size() <= index)
+            out.resize(index + 1, 1);
+        out[index] = std::max(1.0, it.status.report.pace);
+    }
+    return out;
+}
+
 void switch_controller::enter(switch_phase phase, timestamp now)
 {
     m_directive.phase = phase;
--- a/source/core/experts/switch_controller.hpp
+++ b/source/core/experts/switch_controller.hpp
@@ -64,6 +64,8 @@
     /// The version that all ranks have; only while at rest.
     map_version version() const;
     std::int64_t epoch() const { return m_epoch; }
+    /// How much slower than usual each rank is.
+    rank_paces paces() const;
     std::size_t known_ranks(timestamp now) const;
     /// Ranks of which nothing was heard for some time.
     std::vector<rank_number> silent_ranks(timestamp now, milliseconds silence) const;
--- /dev/null
+++ b/source/core/fleet/target_pace.cpp
@@ -0,0 +1,32 @@
+#include "fleet/target_pace.hpp"
+
+#include "common/text.hpp"
+
+#include <cmath>
+#include <cstdint>
+
+namespace kumquatgap::fleet
+{
+
+namespace
+{
+
+constexpr double thousandths = 1000;
+constexpr std::int64_t slowest_thousandths = 1'000'000;
+
+} // namespace
+
+std::string pace_to_text(double pace)
+{
+    return common::concat(std::llround(pace * thousandths));
+}
+
+std::optional<double> pace_from_text(std::string_view text)
+{
+    std::int64_t n = 0;
+    if (!common::parse_number(text, n) || n <= 0 || n > slowest_thousandths)
+        return std::nullopt;
+    return static_cast<double>(n) / thousandths;
+}
+
+} // namespace kumquatgap::fleet
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -16,9 +16,8 @@
 {
 
 constexpr int first_server_error = 500;
-/// The time from the start of a stream to its first event that is taken as usual; a call that
-/// starts later than this before its goal is late.
-constexpr milliseconds usual_first_event{220};
+/// A call is not late for its engine's slowness alone: so much of its goal is left for waiting.
+constexpr milliseconds least_slack{60};
 /// A call with less time left than this is not sent again.
 constexpr milliseconds least_time_left{60};
 /// A stream is silent when it sends nothing for this long while others of its service go on.
@@ -123,7 +122,10 @@
 
 policy::waiting_call exchange::waiting() const
 {
-    const auto usual = fleet::is_stream(m_route->kind) ? usual_first_event : milliseconds{0};
+    const auto& pace = m_gateway.service(m_service).pace;
+    const auto usual = fleet::is_stream(m_route->kind)
+                           ? std::min(pace.first_event_time(), m_route->goal - least_slack)
+                           : milliseconds{0};
     // A stream that has begun keeps its caller waiting from its last event on.
     const auto heard = m_first_event ? common::now() : m_arrived;
     const auto leaves = m_route->patience.count() == 0 ? m_deadline : heard + m_route->patience;
@@ -150,6 +152,7 @@
     request.headers = m_gateway.names().target_fields(m_received.request,
                                                       {it.id, m_team, time_left, m_last_event_id});
     m_record.begin();
+    m_last_event.reset();
     m_attempt = std::make_unique<attempt>(
         m_gateway, *this,
         attempt::plan{it, m_caller.id, fleet::is_stream(m_route->kind),
@@ -200,7 +203,14 @@
     {
         m_first_event = common::now();
         m_gateway.service(m_service).is_suspect = false;
+        m_gateway.service(m_service).pace.note_first_event(
+            std::chrono::duration_cast<milliseconds>(*m_first_event - it.started()));
     }
+    const auto now = common::now();
+    if (m_last_event)
+        m_gateway.service(m_service).pace.note_pause(
+            std::chrono::duration_cast<milliseconds>(now - *m_last_event));
+    m_last_event = now;
     ++m_events;
     std::string whole{text};
     whole += "\n\n";
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -26,6 +26,8 @@
     std::uint64_t number() const { return m_number; }
     /// Targets that this call is not to be sent to again.
     const std::set<std::string>& tried() const { return m_tried; }
+    /// The longest pause between two events that is in time; 0 for none.
+    milliseconds gap_goal() const { return m_route->gap_goal; }
     /// Checks the request, and refuses it or lets it wait for a place.
     void start();
     /// Sends the call to a target.
@@ -72,6 +74,8 @@
     timestamp m_deadline;
     std::optional<timestamp> m_first_sent;
     std::optional<timestamp> m_first_event;
+    /// The last event of the current attempt.
+    std::optional<timestamp> m_last_event;
     fleet::attempt_record m_record{fleet::call_kind::once, 1};
     std::set<std::string> m_tried;
     std::unique_ptr<attempt> m_attempt;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
+#include <numeric>
 
 namespace kumquatgap::gateway
 {
@@ -15,8 +17,8 @@
 /// How often waits, deadlines and stalls are looked at.
 constexpr milliseconds tick_period{25};
 /// New callers come until the balancer has missed two probes, and reuse open connections after
-/// that. Calls are refused once too little of the grace is left for them.
-constexpr double accepting_part_of_grace = 0.55;
+/// that. Later calls are refused, as too little of the grace would be left for a long stream.
+constexpr double accepting_part_of_grace = 0.35;
 /// The process ends by then, whatever is open.
 constexpr double last_part_of_grace = 0.95;
 /// Connections may still come for this long after SIGTERM.
@@ -137,9 +139,16 @@
                            timestamp now)
 {
     std::vector<policy::placement_candidate> candidates;
+    const auto in_time = state.pace.has_engine() ? state.pace.streams_within(it.gap_goal())
+                                                 : std::numeric_limits<double>::max();
     for (const auto* t : targets().usable(name, now))
-        candidates.push_back({t->id, static_cast<double>(t->slots),
-                              t->data_centre == m_settings.common.data_centre ? 0 : 1});
+    {
+        auto limit = std::min(static_cast<double>(t->slots), in_time);
+        if (const auto pace = m_follower.pace_of(t->address); pace > 1)
+            limit = std::min(limit, state.pace.streams_of_slow(pace));
+        candidates.push_back(
+            {t->id, limit, t->data_centre == m_settings.common.data_centre ? 0 : 1});
+    }
     return state.board.pick(candidates, it.tried(), now, draw());
 }
 
@@ -179,6 +188,7 @@
             if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
                 it->second->waited_too_long();
         }
+        measure_pace(name, state, now);
         if (!state.line.empty())
             dispatch(name);
     }
@@ -191,11 +201,32 @@
     m_loads.send(m_follower.peers(), own, now);
 }
 
+/// Compares the pauses of the service's streams with what its engines' figures predict.
+void gateway::measure_pace(const std::string& name, service_state& state, timestamp now)
+{
+    if (!state.pace.has_engine())
+        return;
+    const auto all = targets().usable(name, now);
+    if (all.empty())
+        return;
+    const auto streams = std::accumulate(all.begin(), all.end(), 0.0,
+                                         [&](double sum, const auto* it)
+                                         { return sum + state.board.load(it->id, now); });
+    state.pace.tick(streams / static_cast<double>(all.size()));
+}
+
 void gateway::state_changed()
 {
     m_retries.set_routers(m_follower.peers().size() + 1);
     if (const auto c = configuration())
+    {
         m_server.set_limits(to_http_limits(c->limits));
+        for (const auto& [name, it] : c->services)
+        {
+            if (it.engine)
+                m_services[name].pace.set_engine(*it.engine);
+        }
+    }
     for (const auto& [name, state] : m_services)
     {
         if (!state.line.empty())
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "io/event_loop.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
+#include "policy/engine_pace.hpp"
 #include "policy/progress_meter.hpp"
 #include "policy/retry_share.hpp"
 #include "policy/target_board.hpp"
@@ -57,6 +58,7 @@
     /// The group was broken, and no call has succeeded since; calls go one by one until one does.
     bool is_suspect = false;
     policy::progress_meter progress;
+    policy::engine_pace pace;
 };
 
 /// Takes callers' requests and forwards them straight to targets.
@@ -100,6 +102,7 @@
     std::string place(const std::string& name, service_state& state, const exchange& it,
                       timestamp now);
     void tick();
+    void measure_pace(const std::string& name, service_state& state, timestamp now);
     void state_changed();
     void begin_shutdown();
     void finish_when_idle();
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -1,6 +1,7 @@
 #include "gateway/state_follower.hpp"
 
 #include "common/log.hpp"
+#include "fleet/target_pace.hpp"
 
 #include <algorithm>
 #include <random>
@@ -189,6 +190,8 @@
         m_registered.insert_or_assign(it.key.substr(gateways_prefix.size()), it.value);
         return;
     }
+    if (it.key.starts_with(fleet::pace_prefix))
+        return read_pace(it);
     const auto id = m_wire.target_id(it.key);
     if (id.empty())
         return;
@@ -204,8 +207,32 @@
     m_targets.put(std::move(*found));
 }
 
+void state_follower::read_pace(const kv::key_value& it)
+{
+    const auto address = it.key.substr(fleet::pace_prefix.size());
+    const auto pace = fleet::pace_from_text(it.value);
+    common::log(common::log_level::info, "target_pace",
+                {{"address", address},
+                 {"pace_thousandths", it.value},
+                 {"is_read", pace ? 1 : 0},
+                 {"revision", it.modified}});
+    if (pace)
+        m_paces.insert_or_assign(address, *pace);
+}
+
+double state_follower::pace_of(const std::string& address) const
+{
+    const auto it = m_paces.find(address);
+    return it == m_paces.end() ? 1 : it->second;
+}
+
 void state_follower::read_removed(const std::string& key)
 {
+    if (key.starts_with(fleet::pace_prefix))
+    {
+        m_paces.erase(key.substr(fleet::pace_prefix.size()));
+        return;
+    }
     if (key.starts_with(gateways_prefix))
     {
         m_registered.erase(key.substr(gateways_prefix.size()));
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -31,6 +31,8 @@
     /// The newest configuration; a null pointer before the first one.
     std::shared_ptr<const fleet::configuration> configuration() const { return m_configuration; }
     const fleet::target_table& targets() const { return m_targets; }
+    /// How much slower than usual the target at an address is; 1 for not at all.
+    double pace_of(const std::string& address) const;
     /// The other gateways.
     const std::vector<membership::peer>& peers() const { return m_peers; }
     kv::revision as_of() const { return m_spreader.copy().as_of(); }
@@ -49,6 +51,7 @@
     void store_lost(const common::failure& why);
     bool store_was_away() const;
     void refresh();
+    void read_pace(const kv::key_value& it);
     void read_written(const kv::key_value& it);
     void read_removed(const std::string& key);
     void adopt_configuration(const kv::key_value& it);
@@ -68,6 +71,7 @@
     std::map<std::string, kv::revision> m_read_revisions;
     std::shared_ptr<const fleet::configuration> m_configuration;
     fleet::target_table m_targets;
+    std::map<std::string, double> m_paces;
     std::map<std::string, std::string> m_registered;
     std::vector<membership::peer> m_peers;
     std::function<void()> m_on_change;
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -126,9 +126,10 @@
     const experts::plan_limits limits{.places = static_cast<std::size_t>(m_engine->places_per_rank),
                                       .new_per_set =
                                           static_cast<std::size_t>(m_engine->spare_places)};
-    auto to = experts::improve(*from, loads, limits);
-    const auto before = experts::skew(*from, loads);
-    const auto after = experts::skew(to, loads);
+    const auto paces = m_switch.paces();
+    auto to = experts::improve(*from, loads, limits, paces);
+    const auto before = experts::skew(*from, loads, paces);
+    const auto after = experts::skew(to, loads, paces);
     if (before - after < m_options.least_gain)
         return;
     const auto map = std::make_shared<const experts::expert_map>(std::move(to));
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -55,7 +55,8 @@
       m_driver{draw_agent_number(), common::now(), m_settings.checks_fences},
       m_leadership{loop, store, "kqg/groups/" + m_settings.service,
                    m_settings.common.control_address},
-      m_store{store}, m_socket{loop, [this](std::string_view bytes) { receive(bytes); }},
+      m_pace_notice{store, m_settings.target}, m_store{store},
+      m_socket{loop, [this](std::string_view bytes) { receive(bytes); }},
       m_metrics_server{
           loop,
           {},
@@ -167,6 +168,7 @@
         read_held();
     carry_out_order();
     tell_status(common::now());
+    m_pace_notice.update(r->pace, common::now());
 }
 
 /// Tells the controller of the rank's state when that has changed, and else from time to time.
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -10,6 +10,7 @@
 #include "kv/store.hpp"
 #include "rank_agent/group_controller.hpp"
 #include "rank_agent/leadership.hpp"
+#include "rank_agent/pace_notice.hpp"
 #include "rank_agent/rank_wire.hpp"
 #include "rank_agent/remote_rank.hpp"
 #include "shell/program.hpp"
@@ -79,6 +80,7 @@
     rank_agent_settings m_settings;
     experts::rank_driver m_driver;
     leadership m_leadership;
+    pace_notice m_pace_notice;
     std::unique_ptr<group_controller> m_controller;
     /// Ranks that are driven from here while their agents are silent.
     std::map<experts::rank_number, std::unique_ptr<remote_rank>> m_remote_ranks;
--- a/source/unit_tests/experts/map_planner_test.cpp
+++ b/source/unit_tests/experts/map_planner_test.cpp
@@ -106,3 +106,24 @@
     // Re-planning from scratch would move about every expert.
     cr_assert_leq(copies, 24U);
 }
+
+Test(map_planner, takes_the_experts_off_a_slow_rank)
+{
+    constexpr double pace = 5;
+    rank_paces paces(ranks, 1);
+    paces[2] = pace;
+    const auto loads = skewed(4, 5);
+    auto map = in_turn(4);
+    const auto before = skew(map, loads, paces);
+    // A rank copies few experts in one switch, so that some switches follow each other.
+    constexpr int switches = 6;
+    for (int i = 0; i < switches; ++i)
+    {
+        const auto next = improve(map, loads, limits, paces);
+        check_limits(map, next);
+        map = next;
+    }
+    // With the experts left where they are, the slow rank alone takes five times the mean.
+    cr_assert_gt(before, pace / 2);
+    cr_assert_lt(skew(map, loads, paces), 1.5);
+}
