--- a/source/core/policy/waiting_line.cpp
+++ b/source/core/policy/waiting_line.cpp
@@ -17,18 +17,34 @@
 
 } // namespace
 
-double waiting_line::start_rate(timestamp now) const
+void waiting_line::add(const waiting_call& call, timestamp now)
 {
-    const auto n = std::ranges::count_if(m_starts, [&](timestamp at)
-                                         { return now - at <= m_options.rate_window; });
-    const auto rate =
-        static_cast<double>(n) * ms_per_s / static_cast<double>(m_options.rate_window.count());
+    if (m_calls.empty())
+        m_waits_since = now;
+    m_calls.insert_or_assign(call.id, call);
+}
+
+void waiting_line::put_back(const waiting_call& call, timestamp now)
+{
+    add(call, now);
+}
+
+std::optional<double> waiting_line::start_rate(timestamp now) const
+{
+    const auto measured = std::min(m_options.rate_window,
+                                   std::chrono::duration_cast<milliseconds>(now - m_waits_since));
+    if (m_calls.empty() || measured < m_options.shortest_measure)
+        return std::nullopt;
+    const auto n =
+        std::ranges::count_if(m_starts, [&](timestamp at) { return now - at <= measured; });
+    const auto rate = static_cast<double>(n) * ms_per_s / static_cast<double>(measured.count());
     return std::max(rate, m_options.least_rate);
 }
 
 milliseconds waiting_line::retry_after(timestamp now, double draw) const
 {
-    const auto drain_ms = static_cast<double>(m_calls.size()) / start_rate(now) * ms_per_s;
+    const auto rate = start_rate(now);
+    const auto drain_ms = rate ? static_cast<double>(m_calls.size()) / *rate * ms_per_s : 0;
     const auto lowest = static_cast<double>(m_options.shortest_retry_after.count());
     const auto highest = static_cast<double>(m_options.longest_retry_after.count());
     // Returns are spread over as long again as the line takes.
@@ -41,11 +57,12 @@
 {
     const auto before = std::ranges::count_if(m_calls, [&](const auto& it)
                                               { return it.second.priority <= call.priority; });
-    const auto wait_ms = static_cast<double>(before) / start_rate(now) * ms_per_s;
+    const auto rate = start_rate(now);
+    const auto wait_ms = rate ? static_cast<double>(before) / *rate * ms_per_s : 0;
     const auto most = part_of(call.deadline - call.arrived, m_options.refused_wait_part);
     if (wait_ms > static_cast<double>(most.count()))
         return retry_after(now, draw);
-    m_calls.emplace(call.id, call);
+    add(call, now);
     return std::nullopt;
 }
 
--- a/source/core/policy/waiting_line.hpp
+++ b/source/core/policy/waiting_line.hpp
@@ -37,7 +37,9 @@
     double refused_wait_part = 0.6;
     /// The span over which starts are counted to predict waits.
     milliseconds rate_window{2000};
-    /// Starts a second that are assumed before any were counted.
+    /// Calls must have waited for so long without a break before waits are predicted.
+    milliseconds shortest_measure{250};
+    /// Starts a second that are assumed when fewer were counted.
     double least_rate = 4;
     /// The bounds of the time after which a refused caller is asked to come back.
     milliseconds shortest_retry_after{300};
@@ -48,7 +50,9 @@
 /// above what the targets can do. Those that can still be answered in time go first, the more
 /// urgent kind before the other and then by the time they have left; whoever has missed its time
 /// is served from what remains, the oldest first, so that a crest delays some calls and not all.
-/// What could only be served too late for its caller is refused on arrival.
+/// What could only be served too late for its caller is refused on arrival. How fast the line moves
+/// is measured only while calls wait: starts in a calm time tell of the callers, not of the
+/// targets.
 class waiting_line
 {
 public:
@@ -58,7 +62,7 @@
     /// random number from 0 to below 1 that spreads the returns.
     std::optional<milliseconds> offer(const waiting_call& call, timestamp now, double draw);
     /// Puts a call back that was refused by a target without having run.
-    void put_back(const waiting_call& call) { m_calls.insert_or_assign(call.id, call); }
+    void put_back(const waiting_call& call, timestamp now);
     /// The call that is to start next; it stays in the line.
     std::optional<std::uint64_t> next(timestamp now) const;
     /// The call has started.
@@ -71,15 +75,18 @@
 
     std::size_t size() const { return m_calls.size(); }
     bool empty() const { return m_calls.empty(); }
-    /// Starts a second in the last window.
-    double start_rate(timestamp now) const;
+    /// Starts a second in the last window while calls waited; none before that is known.
+    std::optional<double> start_rate(timestamp now) const;
 
 private:
+    void add(const waiting_call& call, timestamp now);
     bool goes_before(const waiting_call& a, const waiting_call& b, timestamp now) const;
 
     waiting_line_options m_options;
     std::map<std::uint64_t, waiting_call> m_calls;
     std::deque<timestamp> m_starts;
+    /// Since when calls have waited without a break.
+    timestamp m_waits_since;
 };
 
 } // namespace kumquatgap::policy
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -136,7 +136,7 @@
 void exchange::wait_for_place()
 {
     m_is_waiting = true;
-    m_gateway.service(m_service).line.put_back(waiting());
+    m_gateway.service(m_service).line.put_back(waiting(), common::now());
     // The place is taken after the event that is being handled, when the old attempt is gone.
     m_gateway.loop().defer([&owner = m_gateway, name = m_service] { owner.dispatch(name); });
 }
@@ -278,7 +278,7 @@
 {
     if (may_try_again(outcome))
         return wait_for_place();
-    if (m_fallback)
+    if (has_fallback())
         return relay(*m_fallback);
     if (m_record.is_certainly_unrun())
         return refuse(outcome == attempt_outcome::not_sent ? result_code::target_unreachable
@@ -296,6 +296,12 @@
     return last == attempt_outcome::not_sent || m_gateway.retries().take(m_service, now);
 }
 
+/// True when a target's failure can be passed on: a stream that has begun can only be cut.
+bool exchange::has_fallback() const
+{
+    return m_fallback && !m_answer->is_started();
+}
+
 void exchange::relay(const io::http_answer& answer)
 {
     io::http_answer out{answer.status, m_gateway.names().caller_fields(answer), answer.body};
@@ -334,7 +340,7 @@
     if (m_ended || !m_is_waiting)
         return;
     m_is_waiting = false;
-    if (m_fallback)
+    if (has_fallback())
         return relay(*m_fallback);
     if (m_record.is_certainly_unrun())
         return refuse(result_code::deadline_unreachable, "");
@@ -351,7 +357,7 @@
         m_record.end(attempt_outcome::unknown);
     if (m_attempt)
         m_attempt->cancel(target_health::unknown);
-    if (m_fallback && !m_answer->is_started())
+    if (has_fallback())
         return relay(*m_fallback);
     if (m_record.is_certainly_unrun())
         return refuse(result_code::deadline_unreachable, "");
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -51,6 +51,7 @@
     bool may_try_again(fleet::attempt_outcome last);
     void hold_service(const attempt& it);
     bool is_stalled(const attempt& it, timestamp now) const;
+    bool has_fallback() const;
     void relay(const io::http_answer& answer);
     void finish_stream();
     void deadline_passed();
--- a/tests/failures/relay.cpp
+++ b/tests/failures/relay.cpp
@@ -7,6 +7,8 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include <sys/socket.h>
+
 #include <stdexcept>
 
 namespace kumquatgap::failures
@@ -64,9 +66,43 @@
     }
     auto address = to_sockaddr(owner.m_to);
     bufferevent_socket_connect(it->far, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    owner.apply_mood(*it);
     owner.m_pairs.push_back(std::move(it));
 }
 
+void relay::apply_mood(const pair& it) const
+{
+    const bool takes_requests =
+        m_mood == relay_mood::forwards || m_mood == relay_mood::holds_answers;
+    const bool takes_answers =
+        m_mood == relay_mood::forwards || m_mood == relay_mood::holds_requests;
+    (takes_requests ? bufferevent_enable : bufferevent_disable)(it.near, EV_READ);
+    (takes_answers ? bufferevent_enable : bufferevent_disable)(it.far, EV_READ);
+}
+
+void relay::set_mood(relay_mood mood)
+{
+    m_mood = mood;
+    for (const auto& it : m_pairs)
+        apply_mood(*it);
+}
+
+void relay::reset_open_connections()
+{
+    const linger at_once{1, 0};
+    for (const auto& it : m_pairs)
+    {
+        for (auto* side : {it->near, it->far})
+        {
+            const int fd = bufferevent_getfd(side);
+            if (fd >= 0)
+                ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+            bufferevent_free(side);
+        }
+    }
+    m_pairs.clear();
+}
+
 void relay::readable(bufferevent* from, void* arg)
 {
     const auto& it = *static_cast<pair*>(arg);
--- a/tests/platform/gateway_answers_test.cpp
+++ b/tests/platform/gateway_answers_test.cpp
@@ -227,3 +227,41 @@
     cr_assert_eq(result.answer.status, 504);
     cr_assert(site.log().find("request_failed id=r1") != std::string::npos);
 }
+
+Test(gateway_answers, a_body_in_chunks_reaches_its_target_whole)
+{
+    gateway_site site;
+    const auto& target = site.add_target("t-0", "plain",
+                                         [](const io::http_request& request, const reply& out)
+                                         { out.write(whole_answer(request, 200, "done")); });
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready());
+    const auto answer = site.raw_call("POST /act/x HTTP/1.1\r\nHost: site.example\r\n"
+                                      "X-Request-Id: r1\r\nAuthorization: Bearer key-1\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n"
+                                      "4\r\nabcd\r\n6;note=1\r\nefghij\r\n0\r\n\r\n",
+                                      "done");
+    cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+    cr_assert_eq(target.requests().size(), 1U);
+    cr_assert_eq(target.requests().front().body, "abcdefghij");
+    // One framing only, or a reader may see another request in the body.
+    const auto& fields = target.requests().front().headers;
+    cr_assert(fields.find("content-length").empty() != fields.find("transfer-encoding").empty());
+}
+
+Test(gateway_answers, two_framings_in_one_request_are_refused)
+{
+    gateway_site site;
+    const auto& target = site.add_target("t-0", "plain",
+                                         [](const io::http_request& request, const reply& out)
+                                         { out.write(whole_answer(request, 200, "done")); });
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready());
+    const auto answer = site.raw_call("POST /act/x HTTP/1.1\r\nHost: site.example\r\n"
+                                      "X-Request-Id: r1\r\nAuthorization: Bearer key-1\r\n"
+                                      "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                      "0\r\n\r\n",
+                                      "never");
+    cr_assert(answer.starts_with("HTTP/1.1 400"), "%s", answer.c_str());
+    cr_assert(target.requests().empty());
+}
--- a/tests/platform/gateway_state_test.cpp
+++ b/tests/platform/gateway_state_test.cpp
@@ -4,6 +4,9 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <csignal>
+
 using namespace kumquatgap;
 using namespace kumquatgap::platform_tests;
 using stand_ins::scripted_target;
@@ -147,3 +150,105 @@
     cr_assert_eq(server(site, 0), "t-0");
     cr_assert_eq(server(site, 1), "t-0");
 }
+
+Test(gateway_state, a_target_at_a_used_address_runs_nothing_that_is_meant_for_the_old_one)
+{
+    gateway_site site;
+    int runs = 0;
+    // The address of t-0 belongs to t-9 by now, which says so.
+    site.add_target("t-0", "plain",
+                    [&](const io::http_request& request, const scripted_target::reply& out)
+                    {
+                        if (request.headers.find("x-expect-instance") == "t-9")
+                            ++runs;
+                        out.write(whole_answer(request, 421, "", "X-Not-Executed: 1\r\n"));
+                    });
+    site.add_target("t-1", "plain", named("t-1"));
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready());
+    for (int i = 0; i < 6; ++i)
+        cr_assert_eq(server(site), "t-1");
+    cr_assert_eq(runs, 0);
+}
+
+Test(gateway_state, a_gateway_that_the_store_turns_away_hears_from_the_others)
+{
+    gateway_site site{2, true};
+    site.add_target("t-0", "plain", named("t-0"));
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready(0) && site.wait_ready(1));
+    site.store_path(1).set_mood(failures::relay_mood::holds);
+    site.store_path(1).lose_open_connections();
+    auto newer = site.config(6);
+    newer["tenants"][0]["apiKeys"] = {"key-2"};
+    site.put_config(newer);
+    cr_assert(knows(site, "configuration_in_force version=6", 1));
+    cr_assert_eq(site.call(site.request("/read/x", "r1"), 1).answer.status, 401);
+}
+
+Test(gateway_state, changes_come_through_a_slow_and_lossy_path_to_the_store)
+{
+    gateway_site site{1, true};
+    site.add_target("t-0", "plain", named("t-0"));
+    site.put_config(site.config(1));
+    cr_assert(site.wait_ready());
+    constexpr int changes = 8;
+    for (int version = 2; version <= changes; ++version)
+    {
+        using failures::relay_mood;
+        site.store_path(0).set_mood(version % 2 == 0 ? relay_mood::holds_answers
+                                                     : relay_mood::holds_requests);
+        site.put_config(site.config(version));
+        site.run_for(common::milliseconds{150});
+        if (version % 3 == 0)
+            site.store_path(0).reset_open_connections();
+        site.store_path(0).set_mood(relay_mood::forwards);
+        cr_assert_eq(server(site), "t-0");
+    }
+    cr_assert(knows(site, common::concat("configuration_in_force version=", changes)));
+}
+
+Test(gateway_state, a_gateway_that_slept_goes_by_what_changed_meanwhile)
+{
+    gateway_site site;
+    site.add_target("t-0", "plain", named("t-0"));
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready());
+    site.gateway().signal(SIGSTOP);
+    auto newer = site.config(6);
+    newer["tenants"][0]["apiKeys"] = {"key-2"};
+    site.put_config(newer);
+    site.run_for(common::milliseconds{2500});
+    site.gateway().signal(SIGCONT);
+    cr_assert(knows(site, "configuration_in_force version=6"));
+    cr_assert_eq(site.call(site.request("/read/x", "r1")).answer.status, 401);
+}
+
+Test(gateway_state, gateways_rolled_in_turn_lose_no_call)
+{
+    gateway_site site{2};
+    site.add_target("t-0", "plain",
+                    [&](const io::http_request& request, const scripted_target::reply& out)
+                    { out.write(whole_answer(request, 200, "t-0")); });
+    site.put_config(site.config(5));
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        cr_assert(site.wait_ready(0) && site.wait_ready(1));
+        // Calls that were sent when the signal came are answered; the other gateway serves on.
+        std::vector<std::shared_ptr<open_call>> calls;
+        for (int n = 0; n < 20; ++n)
+            calls.push_back(site.begin(site.request("/read/x", common::concat("r", i, "-", n)), i));
+        site.run_for(common::milliseconds{20});
+        site.gateway(i).signal(SIGTERM);
+        cr_assert(site.wait_until(
+            [&] {
+                return std::ranges::all_of(calls, [](const auto& it) { return it->result.ended; });
+            }));
+        for (const auto& it : calls)
+            cr_assert_eq(it->result.answer.status, 200);
+        cr_assert_eq(server(site, 1 - i), "t-0");
+        cr_assert(site.wait_until([&] { return site.gateway(i).has_ended(); }));
+        cr_assert_eq(site.gateway(i).wait(), 0);
+        site.restart_gateway(i);
+    }
+}
--- a/tests/platform/gateway_streams_test.cpp
+++ b/tests/platform/gateway_streams_test.cpp
@@ -170,3 +170,65 @@
     cr_assert_eq(call->result.how, io::call_end::complete);
     cr_assert_eq(site.gateway().wait(), 0);
 }
+
+Test(gateway_streams, a_stream_that_falls_silent_while_others_go_on_is_resumed_elsewhere)
+{
+    gateway_site site;
+    constexpr int before_silence = 3;
+    constexpr common::milliseconds gap{40};
+    std::vector<io::timer_handle> timers;
+    // The first call that comes falls silent; all others send an event every 40 ms.
+    int calls = 0;
+    const auto paced = [&](const io::http_request& request, const reply& out)
+    {
+        if (calls++ == 0)
+            return send_events(request, out, before_silence);
+        const auto text = request.headers.find("last-event-id");
+        if (!text.empty())
+            return whole_stream(request, out);
+        out.write(stream_head(request));
+        constexpr int many = 75;
+        for (int i = 1; i <= many; ++i)
+            timers.push_back(site.loop().after(gap * i,
+                                               [out, i]
+                                               {
+                                                   out.write(stream_event(i));
+                                                   if (i == many)
+                                                       out.write(io::last_chunk);
+                                               }));
+    };
+    site.add_target("e-0", "engine", paced);
+    site.add_target("e-1", "engine", paced);
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready());
+    const auto silent = site.begin(site.request("/draft/x", "r1", "{}"));
+    cr_assert(site.wait_until([&] { return !silent->so_far.empty(); }));
+    const auto other = site.begin(site.request("/draft/x", "r2", "{}"));
+    cr_assert(site.wait_until([&] { return silent->result.ended; }));
+    cr_assert_eq(silent->result.how, io::call_end::complete);
+    cr_assert_eq(silent->so_far, events_text(1, last_event));
+    cr_assert(site.wait_until([&] { return other->result.ended; }));
+    cr_assert_eq(other->so_far, events_text(1, 75));
+}
+
+Test(gateway_streams, a_failure_before_a_stream_is_not_its_end)
+{
+    gateway_site site;
+    // Whichever is asked first fails; the other begins a stream, which can't go on.
+    int calls = 0;
+    const auto script = [&](const io::http_request& request, const reply& out)
+    {
+        if (calls++ == 0)
+            return out.write(whole_answer(request, 500, "broken"));
+        send_events(request, out, 3);
+        out.reset();
+    };
+    site.add_target("e-0", "engine", script);
+    site.add_target("e-1", "engine", script);
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready());
+    const auto result = site.call(site.request("/draft/x", "r1", "{}"));
+    cr_assert(result.ended, "the caller got no end");
+    cr_assert_neq(result.how, io::call_end::complete);
+    cr_assert_eq(result.answer.body, events_text(1, 3));
+}
