Deliver the events of a cut stream before its cut

Change: the gateway cuts after sending; an answer without chunks is cut at once, as an end in order would pass as its own.

--- a/source/core/io/http_server.cpp
+++ b/source/core/io/http_server.cpp
@@ -106,6 +106,9 @@
 {
     if (!is_open())
         return;
+    // Without chunks, an end in order would pass as the answer's end.
+    if (!m_in_chunks)
+        return cut();
     m_finished = true;
     const auto connection = std::move(m_connection);
     connection->shut_when_sent();
--- a/source/core/io/http_server.hpp
+++ b/source/core/io/http_server.hpp
@@ -38,7 +38,8 @@
     void end();
     /// Closes the connection, so that the caller sees that the answer is not whole.
     void cut();
-    /// Closes the connection once what was written has been sent, or after a second.
+    /// Cuts a started answer short once what was written has been sent, or its caller has stopped
+    /// reading for a second. An answer without chunks is cut at once.
     void cut_after_sending();
     /// Tells the caller not to use the connection again.
     void close_after_reply() { m_close = true; }
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -329,7 +329,7 @@
 void exchange::fail(result_code code, const std::string& detail)
 {
     if (m_answer->is_started())
-        m_answer->cut();
+        m_answer->cut_after_sending();
     else
         m_answer->reply(m_gateway.names().failure_answer({code, detail}));
     end("request_failed", code, common::info(code).http_status);
