--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -48,7 +48,8 @@
         if (is_concerned && !has_seen_current(it.status))
             out.push_back(rank);
     }
-    std::ranges::stable_partition(out, [this](rank_number it) { return it == m_directive.holder; });
+    std::stable_partition(out.begin(), out.end(),
+                          [this](rank_number it) { return it == m_directive.holder; });
     return out;
 }
 
--- a/source/unit_tests/io/http_server_test.cpp
+++ b/source/unit_tests/io/http_server_test.cpp
@@ -74,9 +74,10 @@
 {
     io::event_loop loop;
     const auto address = free_address();
-    io::http_server server{loop, {}, [](io::received_request /*received*/, io::responder_ptr it) {
-                               it->reply({200, {}, std::string(answer_bytes, 'x')});
-                           }};
+    io::http_server server{
+        loop, {}, [](const io::received_request& /*received*/, const io::responder_ptr& it) {
+            it->reply({200, {}, std::string(answer_bytes, 'x')});
+        }};
     cr_assert(server.listen(address));
     const int fd = connect_with_small_buffer(address);
     cr_assert(!server.is_busy());
@@ -107,9 +108,10 @@
 {
     io::event_loop loop;
     const auto address = free_address();
-    io::http_server server{loop, {}, [](io::received_request /*received*/, io::responder_ptr it) {
-                               it->reply({200, {}, "ok"});
-                           }};
+    io::http_server server{
+        loop, {}, [](const io::received_request& /*received*/, const io::responder_ptr& it) {
+            it->reply({200, {}, "ok"});
+        }};
     cr_assert(server.listen(address));
     const int fd = connect_with_small_buffer(address);
     const std::string part = "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345";
--- a/tests/platform/gateway_state_test.cpp
+++ b/tests/platform/gateway_state_test.cpp
@@ -236,7 +236,9 @@
         cr_assert(site.wait_ready(0) && site.wait_ready(1));
         // Calls that were sent when the signal came are answered; the other gateway serves on.
         std::vector<std::shared_ptr<open_call>> calls;
-        for (int n = 0; n < 20; ++n)
+        constexpr int calls_of_round = 20;
+        calls.reserve(calls_of_round);
+        for (int n = 0; n < calls_of_round; ++n)
             calls.push_back(site.begin(site.request("/read/x", common::concat("r", i, "-", n)), i));
         site.run_for(common::milliseconds{20});
         site.gateway(i).signal(SIGTERM);
