Explain requests from their logs; re-read settings; answer at once when no target is left

Cause: an on-call engineer had to join log lines by hand, SIGHUP changed nothing, and two kinds of calls were held for nothing. A call that every usable target had refused, or failed with an answer of its own, waited for its deadline (787 ms of 900 in gateway_codes_test, 1.7 s of 2 in gateway_answers_test) since targets that were tried are left out and no other was left. A safe call whose only target was slow was given up for no other one.

A cut stream is logged as 3003, not as 3001.

Ruled out: counting such calls as attempts (none was made); a longer list of tried targets (there are no others).

--- a/source/core/common/log.cpp
+++ b/source/core/common/log.cpp
@@ -79,6 +79,15 @@
     return true;
 }
 
+bool set_log_level(std::string_view level)
+{
+    const auto it = std::ranges::find(s_levels, level, &level_name::name);
+    if (it == s_levels.end())
+        return false;
+    spdlog::set_level(it->spdlog_level);
+    return true;
+}
+
 std::size_t dropped_log_lines()
 {
     const auto pool = spdlog::thread_pool();
--- a/source/core/common/log.hpp
+++ b/source/core/common/log.hpp
@@ -38,6 +38,9 @@
 /// Returns false when the level's name is unknown.
 bool start_log(std::string_view program, std::string_view level);
 
+/// Changes the lowest level written; false when the level's name is unknown.
+bool set_log_level(std::string_view level);
+
 /// Lines that were dropped because standard output took them too slowly.
 std::size_t dropped_log_lines();
 
--- a/source/core/common/metrics.hpp
+++ b/source/core/common/metrics.hpp
@@ -1,47 +1,40 @@
 #pragma once
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/p_square_quantile.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
 
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace kumquatgap::common
 {
 
-/// A stream of measurements with its median and 99th percentile, by Boost.Accumulators.
-class summary
+/// How often a length of time fell into each of a fixed set of ranges, by Boost.Histogram.
+class duration_histogram
 {
 public:
-    summary();
+    duration_histogram();
 
-    /// Adds one measurement.
-    void add(double value);
+    /// Adds one measurement in milliseconds.
+    void add(double ms);
     std::uint64_t count() const;
-    double sum() const;
-    /// 0 while nothing was added.
-    double median() const;
-    /// 0 while nothing was added.
-    double p99() const;
+    double sum_ms() const { return m_sum_ms; }
+    /// Prometheus' lines: a cumulative count for each upper bound, the sum and the count. `name`
+    /// may carry labels.
+    std::string text(std::string_view name) const;
 
 private:
-    using median_set = boost::accumulators::accumulator_set<
-        double,
-        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
-                                   boost::accumulators::tag::p_square_quantile>>;
-    using p99_set = boost::accumulators::accumulator_set<
-        double, boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+    using counts = boost::histogram::histogram<std::tuple<boost::histogram::axis::variable<>>>;
 
-    median_set m_median;
-    p99_set m_p99;
+    counts m_counts;
+    double m_sum_ms = 0;
 };
 
-/// A process's counters, gauges and summaries, written in Prometheus' text format. Names may carry
+/// A process's counters, gauges and histograms, written in Prometheus' text format. Names may carry
 /// labels: `kqg_calls_total{code="0"}`.
 class metrics
 {
@@ -50,8 +43,8 @@
     void count(std::string_view name, std::int64_t n = 1);
     /// Sets a gauge.
     void set(std::string_view name, std::int64_t value);
-    /// Adds a measurement to a summary.
-    void measure(std::string_view name, double value);
+    /// Adds a length of time, in milliseconds, to a histogram.
+    void measure(std::string_view name, double ms);
     /// The value of a counter or gauge; 0 when it was never touched.
     std::int64_t value(std::string_view name) const;
     /// All of it in Prometheus' text format.
@@ -59,7 +52,7 @@
 
 private:
     std::map<std::string, std::int64_t, std::less<>> m_values;
-    std::map<std::string, summary, std::less<>> m_summaries;
+    std::map<std::string, duration_histogram, std::less<>> m_histograms;
 };
 
 } // namespace kumquatgap::common
--- a/source/core/common/settings.cpp
+++ b/source/core/common/settings.cpp
@@ -88,6 +88,16 @@
     bool operator()(const auto&) const { return false; }
 };
 
+/// A setting's value as text.
+struct value_writer
+{
+    std::string operator()(const duration_setting& s) const
+    {
+        return std::to_string(s.target->count());
+    }
+    std::string operator()(const auto& s) const { return common::concat(*s.target); }
+};
+
 /// The text being read and what was found in it.
 struct read_state
 {
@@ -158,6 +168,19 @@
     return state.errors;
 }
 
+std::vector<std::string> settings_schema::differences(const settings_schema& other) const
+{
+    std::vector<std::string> out;
+    for (const auto& [id, s] : m_settings)
+    {
+        const auto it = other.m_settings.find(id);
+        if (it == other.m_settings.end() ||
+            std::visit(value_writer{}, s) != std::visit(value_writer{}, it->second))
+            out.push_back(common::concat(id.first, ".", id.second));
+    }
+    return out;
+}
+
 socket_address parse_address(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/source/core/common/settings.hpp
+++ b/source/core/common/settings.hpp
@@ -80,6 +80,10 @@
     /// Reads INI text. Nothing may be used when the returned list is not empty.
     std::vector<settings_error> read(std::string_view text) const;
 
+    /// The keys, as `section.key`, whose values differ from those of another schema with the same
+    /// keys.
+    std::vector<std::string> differences(const settings_schema& other) const;
+
 private:
     std::map<std::pair<std::string, std::string>, setting> m_settings;
 };
--- a/source/core/policy/retry_share.hpp
+++ b/source/core/policy/retry_share.hpp
@@ -34,6 +34,7 @@
 public:
     explicit retry_share(retry_limits limits) : m_limits{limits} {}
 
+    void set_limits(retry_limits limits) { m_limits = limits; }
     /// How many routers share the extra, this one included.
     void set_routers(std::size_t n) { m_routers = n == 0 ? 1 : n; }
     /// A call for the service has arrived.
--- a/source/core/shell/program.cpp
+++ b/source/core/shell/program.cpp
@@ -116,6 +116,11 @@
     return 0;
 }
 
+std::string settings_path()
+{
+    return absl::GetFlag(FLAGS_config);
+}
+
 io::http_answer to_answer(const failure& why)
 {
     io::http_answer out{common::info(why.code).http_status,
--- a/source/core/shell/program.hpp
+++ b/source/core/shell/program.hpp
@@ -45,6 +45,9 @@
                                  std::string_view usage, const common::settings_schema& schema,
                                  const common_settings& settings);
 
+/// The settings file that the command line names.
+std::string settings_path();
+
 /// A daemon's main function: reads its settings and runs it. The settings' `common` member holds
 /// those that every daemon has.
 template <class Daemon, class Settings>
--- a/source/ctl/command.cpp
+++ b/source/ctl/command.cpp
@@ -3,12 +3,14 @@
 #include "common/text.hpp"
 
 #include "common/settings.hpp"
+#include "ctl/explain.hpp"
 #include "io/http_client.hpp"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
 
 #include <array>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -25,6 +27,8 @@
 constexpr int first_http_error = 400;
 constexpr int first_server_error = 500;
 constexpr common::milliseconds call_timeout{15'000};
+/// Log files of one call: the processes of a deployment, each with one.
+constexpr std::size_t most_log_files = 4000;
 
 /// A command line tool's one connection to the API.
 class api_connection
@@ -256,21 +260,64 @@
     return exit_ok;
 }
 
+/// Reads a log file's lines; false when it can't be read.
+bool read_log(const std::string& path, std::vector<sourced_line>& lines)
+{
+    std::ifstream file{path};
+    if (!file)
+        return false;
+    const auto name = std::filesystem::path{path}.stem().string();
+    for (std::string text; std::getline(file, text);)
+    {
+        auto it = common::read_log_line(text);
+        if (!it)
+            continue;
+        const auto source = it->origin.empty() ? name : it->origin;
+        lines.push_back({source, std::move(*it)});
+    }
+    return true;
+}
+
+/// Tells what the logs know of one request. The files are words of their own or --logs=A,B.
+int explain_request(const command_context& c)
+{
+    auto files = c.options.logs;
+    files.insert(files.end(), c.options.words.begin() + 2, c.options.words.end());
+    std::vector<sourced_line> lines;
+    for (const auto& it : files)
+    {
+        if (read_log(it, lines))
+            continue;
+        c.err << "kqgctl: " << it << " can't be read\n";
+        return exit_bad_file;
+    }
+    if (files.empty())
+    {
+        c.err << "kqgctl: explain needs log files: --logs=FILE,FILE\n";
+        return exit_usage;
+    }
+    const auto story = explain(c.word(1), lines);
+    c.out << to_text(c.word(1), story);
+    return story.lines.empty() ? exit_refused : exit_ok;
+}
+
 /// A command's name, how many words it takes with its own, and what it does.
 struct command
 {
     std::string_view name;
     std::size_t least_words;
     std::size_t most_words;
+    bool needs_api;
     int (*run)(const command_context&);
 };
 
 constexpr auto s_commands = std::to_array<command>({
-    {"get", 2, 3, get},
-    {"apply", 1, 1, apply},
-    {"delete", 3, 3, erase},
-    {"watch", 2, 2, watch},
-    {"status", 1, 1, status},
+    {"get", 2, 3, true, get},
+    {"apply", 1, 1, true, apply},
+    {"delete", 3, 3, true, erase},
+    {"watch", 2, 2, true, watch},
+    {"status", 1, 1, true, status},
+    {"explain", 2, most_log_files + 2, false, explain_request},
 });
 
 } // namespace
@@ -283,10 +330,10 @@
         { return n > 0 && c.name == options.words[0] && n >= c.least_words && n <= c.most_words; });
     if (it == s_commands.end())
     {
-        err << "kqgctl: get, apply, delete, watch or status; see --help\n";
+        err << "kqgctl: get, apply, delete, watch, status or explain; see --help\n";
         return exit_usage;
     }
-    if (common::parse_address(options.api_address).port == 0)
+    if (it->needs_api && common::parse_address(options.api_address).port == 0)
     {
         err << "kqgctl: --api=ip:port is missing or wrong\n";
         return exit_usage;
--- a/source/ctl/command.hpp
+++ b/source/ctl/command.hpp
@@ -12,7 +12,8 @@
 {
     /// Done as asked.
     exit_ok = 0,
-    /// The API refused: conflict, invalid resource, not permitted, not found.
+    /// The API refused (conflict, invalid resource, not permitted, not found), or no log names the
+    /// request.
     exit_refused = 1,
     /// The command line is wrong.
     exit_usage = 64,
@@ -31,6 +32,8 @@
     std::string file;
     std::string output = "table";
     std::string version;
+    /// Log files to read.
+    std::vector<std::string> logs;
 };
 
 /// Runs one command; the result is the program's exit status.
--- a/source/ctl/main.cpp
+++ b/source/ctl/main.cpp
@@ -7,11 +7,14 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <string>
+#include <vector>
 
 ABSL_FLAG(std::string, api, "", "ip:port of kqg-api; or the environment's KQG_API");
 ABSL_FLAG(std::string, token, "", "the operator's token; or the environment's KQG_TOKEN");
 ABSL_FLAG(std::string, f, "", "the file with resources, '-' for standard input");
 ABSL_FLAG(std::string, o, "table", "the form of output: table or json");
+ABSL_FLAG(std::vector<std::string>, logs, {}, "log files, one for each process (explain)");
 ABSL_FLAG(std::string, version_is, "", "the version that the resource must have (delete)");
 
 namespace
@@ -34,7 +37,9 @@
                                  "  kqgctl apply --f=FILE\n"
                                  "  kqgctl delete KIND NAME [--version_is=N]\n"
                                  "  kqgctl watch KIND\n"
-                                 "  kqgctl status");
+                                 "  kqgctl status\n"
+                                 "Tells what log files know of a request.\n"
+                                 "  kqgctl explain REQUEST_ID --logs=FILE,FILE");
     absl::FlagsUsageConfig usage_config;
     usage_config.version_string = [] { return std::string{"kqgctl 0.1.0\n"}; };
     absl::SetFlagsUsageConfig(usage_config);
@@ -46,6 +51,7 @@
     options.token = flag_or_environment(absl::GetFlag(FLAGS_token), "KQG_TOKEN");
     options.file = absl::GetFlag(FLAGS_f);
     options.output = absl::GetFlag(FLAGS_o);
+    options.logs = absl::GetFlag(FLAGS_logs);
     options.version = absl::GetFlag(FLAGS_version_is);
     return kumquatgap::ctl::run_command(options, std::cout, std::cerr);
 }
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -205,6 +205,9 @@
         m_gateway.service(m_service).is_suspect = false;
         m_gateway.service(m_service).pace.note_first_event(
             std::chrono::duration_cast<milliseconds>(*m_first_event - it.started()));
+        m_gateway.counters().measure(
+            common::concat("kqg_run_first_event_ms{service=\"", m_service, "\"}"),
+            static_cast<double>(since(it.started(), *m_first_event)));
     }
     const auto now = common::now();
     if (m_last_event)
@@ -227,14 +230,15 @@
     m_gateway.counters().count(
         common::concat("kqg_attempts_total{outcome=\"", fleet::name_of(outcome), "\"}"));
     if (outcome != attempt_outcome::answered)
-        common::log(common::log_level::info, "attempt_failed",
-                    {{"id", m_caller.id},
-                     {"target", it.target().id},
-                     {"outcome", fleet::name_of(outcome)},
-                     {"status", answer.status},
-                     {"fault", it.fault_target()},
-                     {"events", m_events},
-                     {"ms", since(it.started(), common::now())}});
+        m_gateway.failure_log().write(common::log_level::info, "attempt_failed",
+                                      {{"id", m_caller.id},
+                                       {"target", it.target().id},
+                                       {"outcome", fleet::name_of(outcome)},
+                                       {"status", answer.status},
+                                       {"fault", it.fault_target()},
+                                       {"events", m_events},
+                                       {"ms", since(it.started(), common::now())}},
+                                      common::now());
     if (outcome == attempt_outcome::answered)
         return answered(it, answer);
     if (outcome == attempt_outcome::refused_unrun && !it.fault_target().empty())
@@ -264,7 +268,8 @@
     take_back(it);
     if (was_stream)
         return finish_stream();
-    if (is_failure && fleet::may_repeat(m_route->kind) && may_try_again(attempt_outcome::answered))
+    if (is_failure && fleet::may_repeat(m_route->kind) &&
+        has_target_left(attempt_outcome::answered) && may_try_again(attempt_outcome::answered))
     {
         m_fallback = answer;
         return wait_for_place();
@@ -276,7 +281,7 @@
 
 void exchange::not_answered(attempt_outcome outcome)
 {
-    if (may_try_again(outcome))
+    if (has_target_left(outcome) && may_try_again(outcome))
         return wait_for_place();
     if (has_fallback())
         return relay(*m_fallback);
@@ -287,6 +292,31 @@
     fail(result_code::outcome_unknown, fleet::name_of(outcome).data());
 }
 
+/// True when a target is left that an attempt which is under way could be given up for.
+bool exchange::has_other_target(const attempt& than) const
+{
+    const auto usable = m_gateway.targets().usable(m_service, common::now());
+    return std::ranges::any_of(usable, [&](const auto* it)
+                               { return it->id != than.target().id && !m_tried.contains(it->id); });
+}
+
+/// True when another attempt may end otherwise. Once all targets were tried, the path to one may
+/// be whole again, but what a target itself has said is final.
+bool exchange::has_target_left(attempt_outcome last)
+{
+    const auto usable = m_gateway.targets().usable(m_service, common::now());
+    if (usable.empty())
+        return last != attempt_outcome::answered;
+    const bool all_tried =
+        std::ranges::all_of(usable, [&](const auto* it) { return m_tried.contains(it->id); });
+    if (!all_tried)
+        return true;
+    if (last != attempt_outcome::unknown && last != attempt_outcome::not_sent)
+        return false;
+    m_tried.clear();
+    return true;
+}
+
 bool exchange::may_try_again(attempt_outcome last)
 {
     const auto now = common::now();
@@ -328,11 +358,12 @@
 /// Ends a call that may have run. A stream that has begun is cut, so that it can't pass as whole.
 void exchange::fail(result_code code, const std::string& detail)
 {
+    const auto ended = m_answer->is_started() ? result_code::stream_cut : code;
     if (m_answer->is_started())
         m_answer->cut_after_sending();
     else
         m_answer->reply(m_gateway.names().failure_answer({code, detail}));
-    end("request_failed", code, common::info(code).http_status);
+    end("request_failed", ended, common::info(ended).http_status);
 }
 
 void exchange::waited_too_long()
@@ -381,8 +412,8 @@
         return;
     if (now >= m_deadline)
         return deadline_passed();
-    if (!m_attempt || !is_stalled(*m_attempt, now) || !m_record.may_send_again() ||
-        !may_try_again(attempt_outcome::unknown))
+    if (!m_attempt || !is_stalled(*m_attempt, now) || !has_other_target(*m_attempt) ||
+        !m_record.may_send_again() || !may_try_again(attempt_outcome::unknown))
         return;
     common::log(common::log_level::info, "attempt_stalled",
                 {{"id", m_caller.id},
@@ -409,31 +440,49 @@
     end("caller_gone", result_code::caller_gone, 0);
 }
 
+void exchange::count_end(std::string_view event, result_code code, timestamp now)
+{
+    auto& m = m_gateway.counters();
+    const std::string_view route = m_route == nullptr ? "" : m_route->name;
+    m.count(common::concat("kqg_requests_total{route=\"", route, "\",outcome=\"", event,
+                           "\",code=\"", common::number(code), "\"}"));
+    m.measure(common::concat("kqg_request_ms{route=\"", route, "\",outcome=\"", event, "\"}"),
+              static_cast<double>(since(m_arrived, now)));
+    if (m_first_sent)
+        m.measure(common::concat("kqg_wait_ms{service=\"", m_service, "\"}"),
+                  static_cast<double>(since(m_arrived, *m_first_sent)));
+}
+
+void exchange::log_end(std::string_view event, result_code code, int status, timestamp now)
+{
+    const auto waiting_calls = m_service.empty() ? 0 : m_gateway.service(m_service).line.size();
+    auto& out = code == result_code::ok ? m_gateway.ordinary_log() : m_gateway.failure_log();
+    out.write(common::log_level::info, event,
+              {{"id", m_caller.id},
+               {"route", m_route == nullptr ? "" : m_route->name},
+               {"service", m_service},
+               {"team", m_team},
+               {"code", common::number(code)},
+               {"status", status},
+               {"attempts", m_record.sent()},
+               {"wait_ms", m_first_sent ? since(m_arrived, *m_first_sent) : -1},
+               {"first_ms", m_first_event ? since(m_arrived, *m_first_event) : -1},
+               {"events", m_events},
+               {"ms", since(m_arrived, now)},
+               {"waiting", waiting_calls},
+               {"targets", m_gateway.targets().usable(m_service, now).size()},
+               {"state", m_gateway.state_revision()},
+               {"config", m_configuration ? m_configuration->version : 0}},
+              now);
+}
+
 void exchange::end(std::string_view event, result_code code, int status)
 {
     if (std::exchange(m_ended, true))
         return;
     const auto now = common::now();
-    m_gateway.counters().count(
-        common::concat("kqg_requests_total{code=\"", common::number(code), "\"}"));
-    const auto waiting_calls = m_service.empty() ? 0 : m_gateway.service(m_service).line.size();
-    m_gateway.counters().measure("kqg_request_ms", static_cast<double>(since(m_arrived, now)));
-    common::log(common::log_level::info, event,
-                {{"id", m_caller.id},
-                 {"route", m_route == nullptr ? "" : m_route->name},
-                 {"service", m_service},
-                 {"team", m_team},
-                 {"code", common::number(code)},
-                 {"status", status},
-                 {"attempts", m_record.sent()},
-                 {"wait_ms", m_first_sent ? since(m_arrived, *m_first_sent) : -1},
-                 {"first_ms", m_first_event ? since(m_arrived, *m_first_event) : -1},
-                 {"events", m_events},
-                 {"ms", since(m_arrived, now)},
-                 {"waiting", waiting_calls},
-                 {"targets", m_gateway.targets().usable(m_service, now).size()},
-                 {"state", m_gateway.state_revision()},
-                 {"config", m_configuration ? m_configuration->version : 0}});
+    count_end(event, code, now);
+    log_end(event, code, status, now);
     if (m_attempt)
         take_back(*m_attempt);
     m_gateway.remove(*this);
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -48,6 +48,8 @@
     void take_back(attempt& it);
     void answered(attempt& it, const io::http_answer& answer);
     void not_answered(fleet::attempt_outcome outcome);
+    bool has_other_target(const attempt& than) const;
+    bool has_target_left(fleet::attempt_outcome last);
     bool may_try_again(fleet::attempt_outcome last);
     void hold_service(const attempt& it);
     bool is_stalled(const attempt& it, timestamp now) const;
@@ -59,6 +61,8 @@
     void refuse(common::result_code code, const std::string& detail);
     void caller_gone();
     void end(std::string_view event, common::result_code code, int status);
+    void count_end(std::string_view event, common::result_code code, timestamp now);
+    void log_end(std::string_view event, common::result_code code, int status, timestamp now);
     policy::waiting_call waiting() const;
 
     gateway& m_gateway;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -1,9 +1,11 @@
 #include "gateway/gateway.hpp"
 
 #include "common/log.hpp"
+#include "common/text.hpp"
 #include "gateway/exchange.hpp"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <limits>
 #include <numeric>
@@ -24,6 +26,16 @@
 /// Connections may still come for this long after SIGTERM.
 constexpr milliseconds settle_time{2500};
 constexpr milliseconds idle_check_period{50};
+/// Log lines a second; a line has some 300 bytes. The first covers the calls of an entry host at
+/// the size that is designed for (6,900/s over 35 hosts) in part, the second at a crest of
+/// failures.
+constexpr double ordinary_lines_per_second = 100;
+constexpr double failure_lines_per_second = 400;
+constexpr double per_thousand = 1000;
+/// Settings that are used as soon as they change; the others need a new start.
+constexpr auto s_reloadable =
+    std::to_array<std::string_view>({"process.log_level", "gateway.grace_ms", "retries.ratio",
+                                     "retries.extra", "retries.window_ms"});
 
 milliseconds part_of(milliseconds d, double part)
 {
@@ -62,11 +74,12 @@
                   for (auto& [service, state] : m_services)
                       state.board.heard(peer, it, common::now());
               }},
-      m_retries{m_settings.retries}, m_server{loop,
-                                              {},
-                                              [this](io::received_request received,
-                                                     io::responder_ptr answer)
-                                              { handle(std::move(received), std::move(answer)); }},
+      m_retries{m_settings.retries}, m_ordinary_log{"answered", ordinary_lines_per_second},
+      m_failure_log{"refused_or_failed", failure_lines_per_second},
+      m_server{loop,
+               {},
+               [this](io::received_request received, io::responder_ptr answer)
+               { handle(std::move(received), std::move(answer)); }},
       m_admin{loop,
               {},
               [this](const io::received_request& received, const io::responder_ptr& answer)
@@ -95,7 +108,8 @@
     }
     m_loop.on_signal(SIGTERM, [this] { begin_shutdown(); });
     m_loop.on_signal(SIGINT, [this] { begin_shutdown(); });
-    m_loop.on_signal(SIGHUP, [] { common::log(common::log_level::info, "reload_asked"); });
+    m_settings_follower = std::make_unique<shell::settings_follower>(
+        m_loop, shell::settings_path(), [this](const std::string& text) { read_settings(text); });
     m_follower.on_change([this] { state_changed(); });
     m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
     common::log(common::log_level::info, "started", {{"address", m_settings.listen}});
@@ -110,12 +124,31 @@
     return !m_shutting_down && m_follower.configuration() != nullptr;
 }
 
-void gateway::handle_admin(const io::received_request& received, io::responder& answer)
+void gateway::write_metrics(timestamp now)
 {
     m_metrics.set("kqg_open_calls", static_cast<std::int64_t>(m_exchanges.size()));
     m_metrics.set("kqg_target_connections",
                   static_cast<std::int64_t>(m_client.connections_opened()));
-    m_follower.write_metrics(m_metrics);
+    m_follower.write_metrics(m_metrics, now);
+    m_loads.write_metrics(m_metrics, now);
+    for (const auto& [name, state] : m_services)
+    {
+        const auto set = [&](std::string_view what, std::int64_t value)
+        { m_metrics.set(common::concat(what, "{service=\"", name, "\"}"), value); };
+        set("kqg_calls_waiting", static_cast<std::int64_t>(state.line.size()));
+        set("kqg_retries_left", static_cast<std::int64_t>(m_retries.left(name, now)));
+        set("kqg_service_held", now < state.held_until ? 1 : 0);
+        if (!state.pace.has_engine())
+            continue;
+        set("kqg_predicted_first_event_ms", state.pace.first_event_time().count());
+        set("kqg_measured_over_predicted_pass_thousandths",
+            static_cast<std::int64_t>(state.pace.factor() * per_thousand));
+    }
+}
+
+void gateway::handle_admin(const io::received_request& received, io::responder& answer)
+{
+    write_metrics(common::now());
     if (!shell::answer_admin_request(received.request, answer, is_ready(), m_metrics))
         answer.reply(m_wire.failure_answer({common::result_code::not_found, ""}));
 }
@@ -195,6 +228,8 @@
     const auto open = m_exchanges;
     for (const auto& [id, it] : open)
         it->check_time(now);
+    m_ordinary_log.report(now);
+    m_failure_log.report(now);
     load_exchange::loads own;
     for (const auto& [name, state] : m_services)
         own.insert(state.board.own_loads().begin(), state.board.own_loads().end());
@@ -234,6 +269,20 @@
     }
 }
 
+void gateway::read_settings(const std::string& text)
+{
+    const auto changed = shell::read_changed(text, m_settings, &add_settings, s_reloadable);
+    if (!changed)
+        return;
+    if (!common::set_log_level(changed->common.log_level))
+        common::log(common::log_level::error, "log_level_unknown",
+                    {{"level", changed->common.log_level}});
+    m_settings.common.log_level = changed->common.log_level;
+    m_settings.grace = changed->grace;
+    m_settings.retries = changed->retries;
+    m_retries.set_limits(m_settings.retries);
+}
+
 void gateway::begin_shutdown()
 {
     if (std::exchange(m_shutting_down, true))
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/limited_log.hpp"
 #include "common/metrics.hpp"
 #include "fleet/configuration.hpp"
 #include "fleet/target_table.hpp"
@@ -15,6 +16,7 @@
 #include "policy/target_board.hpp"
 #include "policy/waiting_line.hpp"
 #include "shell/program.hpp"
+#include "shell/settings_follower.hpp"
 
 #include <cstdint>
 #include <map>
@@ -78,6 +80,10 @@
     io::http_client& client() { return m_client; }
     const wire& names() const { return m_wire; }
     common::metrics& counters() { return m_metrics; }
+    /// For the ends of calls that went well.
+    common::limited_log& ordinary_log() { return m_ordinary_log; }
+    /// For refusals, failures and failed attempts.
+    common::limited_log& failure_log() { return m_failure_log; }
     policy::retry_share& retries() { return m_retries; }
     const fleet::target_table& targets() const { return m_follower.targets(); }
     /// The store's revision of the state that decisions go by.
@@ -98,12 +104,14 @@
 
 private:
     void handle(io::received_request received, io::responder_ptr answer);
+    void write_metrics(timestamp now);
     void handle_admin(const io::received_request& received, io::responder& answer);
     std::string place(const std::string& name, service_state& state, const exchange& it,
                       timestamp now);
     void tick();
     void measure_pace(const std::string& name, service_state& state, timestamp now);
     void state_changed();
+    void read_settings(const std::string& text);
     void begin_shutdown();
     void finish_when_idle();
     bool is_ready() const;
@@ -116,6 +124,8 @@
     load_exchange m_loads;
     policy::retry_share m_retries;
     common::metrics m_metrics;
+    common::limited_log m_ordinary_log;
+    common::limited_log m_failure_log;
     std::mt19937_64 m_random{std::random_device{}()};
     std::map<std::string, service_state> m_services;
     std::map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
@@ -123,6 +133,7 @@
     io::http_server m_server;
     io::http_server m_admin;
     std::unique_ptr<io::http_server> m_metrics_server;
+    std::unique_ptr<shell::settings_follower> m_settings_follower;
     timestamp m_term_at;
     bool m_shutting_down = false;
     bool m_refuses_calls = false;
--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.hpp"
 #include "common/result_code.hpp"
+#include "common/text.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -44,13 +45,24 @@
         m_socket.send(it.address, {reinterpret_cast<const char*>(bytes.data()), bytes.size()});
 }
 
+void load_exchange::write_metrics(common::metrics& m, common::timestamp now) const
+{
+    m.set("kqg_load_bytes", static_cast<std::int64_t>(m_socket.bytes()));
+    for (const auto& [name, at] : m_heard_at)
+        m.set(common::concat("kqg_peer_loads_age_ms{gateway=\"", name, "\"}"), (now - at).count());
+}
+
 void load_exchange::receive(std::string_view bytes)
 {
     const auto message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
     try
     {
         if (!message.is_discarded() && message.at("token") == m_token)
-            return m_handler(message.at("name"), message.at("loads").get<loads>());
+        {
+            const std::string name = message.at("name");
+            m_heard_at.insert_or_assign(name, common::now());
+            return m_handler(name, message.at("loads").get<loads>());
+        }
     }
     catch (const json::exception& e)
     {
--- a/source/gateway/load_exchange.hpp
+++ b/source/gateway/load_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/metrics.hpp"
 #include "io/datagram_socket.hpp"
 #include "io/event_loop.hpp"
 #include "membership/spreader.hpp"
@@ -26,7 +27,8 @@
     bool start(const std::string& address);
     /// Sends the loads when they have changed since the last message, or when that is long ago.
     void send(const std::vector<membership::peer>& to, const loads& own, common::timestamp now);
-    std::uint64_t bytes() const { return m_socket.bytes(); }
+    /// Bytes sent and received, and how long ago the other gateways were heard.
+    void write_metrics(common::metrics& m, common::timestamp now) const;
 
 private:
     void receive(std::string_view bytes);
@@ -35,6 +37,7 @@
     std::string m_token;
     handler m_handler;
     io::datagram_socket m_socket;
+    std::map<std::string, common::timestamp> m_heard_at;
     loads m_last_sent;
     common::timestamp m_sent_at;
 };
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -59,7 +59,7 @@
     return true;
 }
 
-void state_follower::write_metrics(common::metrics& m) const
+void state_follower::write_metrics(common::metrics& m, common::timestamp now) const
 {
     m.set("kqg_state_revision", as_of());
     m.set("kqg_config_version", m_configuration ? m_configuration->version : 0);
@@ -67,6 +67,10 @@
     m.set("kqg_gateways", static_cast<std::int64_t>(m_peers.size() + 1));
     m.set("kqg_control_bytes", static_cast<std::int64_t>(m_bus.bytes()));
     m.set("kqg_store_lost", m_store_is_lost ? 1 : 0);
+    // -1: not yet.
+    m.set("kqg_store_heard_age_ms",
+          m_store_heard_at == common::timestamp{} ? -1 : (now - m_store_heard_at).count());
+    m.set("kqg_config_age_ms", m_configuration ? (now - m_configured_at).count() : -1);
 }
 
 void state_follower::carry_out(const membership::actions& list)
@@ -130,6 +134,7 @@
 
 void state_follower::store_answered()
 {
+    m_store_heard_at = common::now();
     if (!std::exchange(m_store_is_lost, false))
         return;
     m_store_back_at = common::now();
@@ -261,6 +266,7 @@
     common::log(
         common::log_level::info, "configuration_in_force",
         {{"version", found->version}, {"revision", it.modified}, {"routes", found->route_count()}});
+    m_configured_at = common::now();
     m_configuration = std::make_shared<const fleet::configuration>(std::move(*found));
 }
 
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -38,7 +38,7 @@
     kv::revision as_of() const { return m_spreader.copy().as_of(); }
     /// Calls fn after every change of the configuration or the targets.
     void on_change(std::function<void()> fn) { m_on_change = std::move(fn); }
-    void write_metrics(common::metrics& m) const;
+    void write_metrics(common::metrics& m, common::timestamp now) const;
 
 private:
     void carry_out(const membership::actions& list);
@@ -79,6 +79,9 @@
     kv::lease_id m_lease = 0;
     bool m_store_is_lost = false;
     common::timestamp m_store_back_at;
+    /// When the store answered last, and when the configuration in force was adopted.
+    common::timestamp m_store_heard_at;
+    common::timestamp m_configured_at;
     io::timer_handle m_tick_timer;
     io::timer_handle m_register_timer;
 };
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -3,6 +3,7 @@
 #include "common/log.hpp"
 #include "rank_agent/agent_number.hpp"
 
+#include <array>
 #include <csignal>
 
 namespace kumquatgap::rank_agent
@@ -33,6 +34,9 @@
 /// A controller that is told to stop ends its switch first, for up to this long.
 constexpr milliseconds longest_shutdown{3000};
 
+/// Settings that are used as soon as they change; the others need a new start.
+constexpr auto s_reloadable = std::to_array<std::string_view>({"process.log_level"});
+
 io::call_options to_rank(milliseconds silence)
 {
     return {.connect_timeout = silence, .silence_timeout = silence};
@@ -83,7 +87,8 @@
     }
     m_loop.on_signal(SIGTERM, [this] { begin_shutdown(); });
     m_loop.on_signal(SIGINT, [this] { begin_shutdown(); });
-    m_loop.on_signal(SIGHUP, [] { common::log(common::log_level::info, "reload_asked"); });
+    m_settings_follower = std::make_unique<shell::settings_follower>(
+        m_loop, shell::settings_path(), [this](const std::string& text) { read_settings(text); });
     m_leadership.start();
     m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
     common::log(common::log_level::info, "started", {{"target", m_settings.target}});
@@ -92,6 +97,17 @@
     return 0;
 }
 
+void rank_agent::read_settings(const std::string& text)
+{
+    const auto changed = shell::read_changed(text, m_settings, &add_settings, s_reloadable);
+    if (!changed)
+        return;
+    if (!common::set_log_level(changed->common.log_level))
+        common::log(common::log_level::error, "log_level_unknown",
+                    {{"level", changed->common.log_level}});
+    m_settings.common.log_level = changed->common.log_level;
+}
+
 void rank_agent::send(const std::string& address, const experts::agent_message& m)
 {
     const auto& own = m_settings.common;
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -14,6 +14,7 @@
 #include "rank_agent/rank_wire.hpp"
 #include "rank_agent/remote_rank.hpp"
 #include "shell/program.hpp"
+#include "shell/settings_follower.hpp"
 
 #include <map>
 #include <memory>
@@ -72,6 +73,7 @@
     void move_switch_on(common::timestamp now);
     void read_engine(common::timestamp now);
     void stand_in_for_agents(common::timestamp now);
+    void read_settings(const std::string& text);
     void begin_shutdown();
 
     io::event_loop& m_loop;
@@ -87,6 +89,7 @@
     kv::store& m_store;
     io::datagram_socket m_socket;
     io::http_server m_metrics_server;
+    std::unique_ptr<shell::settings_follower> m_settings_follower;
     common::metrics m_metrics;
     choice_counts m_last_counts;
     held_experts m_held;
--- a/source/unit_tests/common/settings_test.cpp
+++ b/source/unit_tests/common/settings_test.cpp
@@ -59,3 +59,16 @@
         cr_assert_eq(parse_address(text).port, 0, "%s", text);
     cr_assert_eq(parse_address("10.0.0.1:65535").port, 65535);
 }
+
+Test(settings, tells_which_values_differ)
+{
+    sample a;
+    sample b;
+    cr_assert(a.schema.read("[process]\nname = a\naddress = 127.0.0.1:80\n").empty());
+    cr_assert(b.schema.read("[process]\nname = a\naddress = 127.0.0.1:80\n").empty());
+    cr_assert(a.schema.differences(b.schema).empty());
+    b.delay = milliseconds{51};
+    b.name = "b";
+    const std::vector<std::string> expected{"process.delay_ms", "process.name"};
+    cr_assert(a.schema.differences(b.schema) == expected);
+}
--- a/tests/platform/gateway_answers_test.cpp
+++ b/tests/platform/gateway_answers_test.cpp
@@ -205,6 +205,48 @@
     cr_assert_eq(result.answer.body, "no");
 }
 
+/// Another call, whose target is silent until its deadline, tells the time.
+Test(gateway_answers, a_failure_of_the_last_target_is_not_held_back)
+{
+    gateway_site site;
+    start(site, {[](const io::http_request& request, const reply& out)
+                 {
+                     if (request.headers.find("x-request-id") != "clock")
+                         out.write(whole_answer(request, 500, "no"));
+                 }});
+    auto request = site.request("/act/x", "clock");
+    const auto clock = site.begin(request);
+    const auto failed = site.begin(site.request("/read/x", "r1"));
+    cr_assert(site.wait_until([&] { return clock->result.ended || failed->result.ended; }));
+    cr_assert_eq(failed->result.answer.status, 500);
+    cr_assert_not(clock->result.ended, "the answer was there long before");
+}
+
+Test(gateway_answers, a_safe_call_whose_path_was_cut_is_sent_to_the_only_target_again)
+{
+    gateway_site site;
+    int runs = 0;
+    start(site, {[&](const io::http_request& request, const reply& out)
+                 { ++runs == 1 ? out.reset() : answer_well(request, out); }});
+    const auto result = site.call(site.request("/read/x", "r1"));
+    cr_assert_eq(result.answer.status, 200);
+    cr_assert_eq(runs, 2);
+}
+
+Test(gateway_answers, a_slow_answer_of_the_only_target_is_waited_for)
+{
+    gateway_site site;
+    std::vector<io::timer_handle> late;
+    start(site, {[&](const io::http_request& request, const reply& out)
+                 {
+                     // Behind the time at which a call is sent elsewhere, before its deadline.
+                     late.push_back(site.loop().after(common::milliseconds{900}, [request, out]
+                                                      { answer_well(request, out); }));
+                 }});
+    const auto result = site.call(site.request("/read/x", "r1"));
+    cr_assert_eq(result.answer.status, 200);
+}
+
 Test(gateway_answers, an_early_answer_costs_the_connection)
 {
     gateway_site site;
--- a/tests/platform/gateway_site.cpp
+++ b/tests/platform/gateway_site.cpp
@@ -37,6 +37,14 @@
     return name;
 }
 
+std::string read_file(const std::string& path)
+{
+    std::ifstream file{path};
+    std::stringstream out;
+    out << file.rdbuf();
+    return out.str();
+}
+
 json route(const char* prefix, const char* kind, const char* service, int timeout_ms, int attempts)
 {
     return {{"name", prefix},    {"host", "site.example"},  {"prefix", prefix},
@@ -97,12 +105,20 @@
     start_gateway(i);
 }
 
+void gateway_site::change_settings(const std::string& old_text, const std::string& new_text,
+                                   std::size_t i)
+{
+    const auto path = common::concat(m_folder, "/gateway-", i, ".ini");
+    auto text = read_file(path);
+    const auto at = text.find(old_text);
+    if (at == std::string::npos)
+        throw std::runtime_error{"the settings have no " + old_text};
+    std::ofstream{path} << text.replace(at, old_text.size(), new_text);
+}
+
 std::string gateway_site::log(std::size_t i) const
 {
-    std::ifstream file{common::concat(m_folder, "/gateway-", i, ".log")};
-    std::stringstream out;
-    out << file.rdbuf();
-    return out.str();
+    return read_file(common::concat(m_folder, "/gateway-", i, ".log"));
 }
 
 stand_ins::scripted_target& gateway_site::add_target(const std::string& id,
--- a/tests/platform/gateway_site.hpp
+++ b/tests/platform/gateway_site.hpp
@@ -51,6 +51,9 @@
     stand_ins::platform_store& store() { return *m_store; }
     failures::process& gateway(std::size_t i = 0) { return *m_gateways.at(i); }
     void restart_gateway(std::size_t i);
+    /// Replaces a text in a gateway's settings file, without a signal.
+    void change_settings(const std::string& old_text, const std::string& new_text,
+                         std::size_t i = 0);
     /// A gateway's own path to the store.
     failures::relay& store_path(std::size_t i) { return *m_store_paths.at(i); }
 
