--- a/tests/platform/gateway_site.hpp
+++ b/tests/platform/gateway_site.hpp
@@ -4,6 +4,7 @@
 #include "process.hpp"
 #include "relay.hpp"
 #include "scripted_target.hpp"
+#include "target_answers.hpp"
 
 #include "io/event_loop.hpp"
 #include "io/http_client.hpp"
@@ -101,13 +102,9 @@
     std::vector<std::unique_ptr<failures::process>> m_gateways;
 };
 
-/// An answer of a target with its id and its signature.
-std::string whole_answer(const io::http_request& request, int status, const std::string& body,
-                         const std::string& more_fields = "");
-/// The head of a stream, and one of its events as a chunk.
-std::string stream_head(const io::http_request& request);
-std::string stream_event(int id);
-/// The events of a stream as a caller gets them.
-std::string events_text(int first, int last);
+using stand_ins::events_text;
+using stand_ins::stream_event;
+using stand_ins::stream_head;
+using stand_ins::whole_answer;
 
 } // namespace kumquatgap::platform_tests
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -107,6 +107,27 @@
 show 'an order without a key' '"code":1009' "${auth[@]}" -d "$order" "http://$router/orders"
 show 'an unknown team' '"code":1004' -d "$prompt}" "http://$router/v1/chat/completions"
 
+# The users' platform: a stand-in of its store and targets, two gateways before them.
+platform_store=127.0.0.1:$(port 10)
+gateway_a=127.0.0.1:$(port 11) gateway_b=127.0.0.1:$(port 12)
+for i in 0 1; do
+  { common "gateway-$i" | sed "s/^address = .*/address = $platform_store/"
+    printf '[control]\nlisten = 127.0.0.1:%s\n' "$(port $((15 + i)))"
+    printf '[gateway]\nlisten = 127.0.0.1:%s\nready_listen = 127.0.0.1:%s\n' "$(port $((11 + i)))" "$(port $((13 + i)))"
+    printf '[retries]\nratio = 0.2\nextra = 20\n'; } >"$dir/gateway_$i.ini"
+done
+start platform "$bin/stand_in_platform" --store="$platform_store" \
+  --drafts="127.0.0.1:$(port 17),127.0.0.1:$(port 18)" --orders="127.0.0.1:$(port 19)"
+for i in 0 1; do start "gateway_$i" "$bin/kqg-gateway" --config="$dir/gateway_$i.ini"; done
+for i in 0 1; do wait_for "127.0.0.1:$(port $((13 + i)))/readyz"; done
+shop=(-H 'Host: shop.example' "${auth[@]}")
+show 'platform: a streamed draft' 'data: piece 12' -N "${shop[@]}" -H 'X-Request-Id: demo-1' -d '{}' "http://$gateway_a/drafts/wall"
+show 'platform: an order' '"done_by"' "${shop[@]}" -H 'X-Request-Id: demo-2' -d "$order" "http://$gateway_b/orders/r-100"
+show 'platform: a key of nobody' '"code":1004' -H 'Host: shop.example' -H 'X-Request-Id: demo-3' "http://$gateway_a/stock/coils"
+sleep 0.2 # The log lines are written by a thread of their own.
+printf '\n--- platform: the draft by its log lines\n'
+"$bin/kqgctl" explain demo-1 --logs="$dir/gateway_0.log,$dir/gateway_1.log" || failed=1
+
 printf '\n--- resources in force\n'
 for kind in team service target share priority; do "$bin/kqgctl" get "$kind"; done
 printf '\n'
@@ -121,5 +142,6 @@
   echo "all requests were answered as they should be"
   exit 0
 fi
-printf '\nrouter: http://%s   api: http://%s   (Ctrl-C ends all)\n' "$router" "$api"
+printf '\nrouter: http://%s   api: http://%s   gateways: http://%s http://%s   (Ctrl-C ends all)\n' \
+  "$router" "$api" "$gateway_a" "$gateway_b"
 wait
