Let as many calls wait for a group that forms anew as it can start at once

Cause: after a loss of power of all hosts the group forms within a second and more. Once the group had formed, the pace of the halt refused newcomers for two seconds more, and so it did after a standstill.

Change: waiting_line::halt and resume; the gateway tells a line when its group is lost or stands still and when it goes on.

Ruled out: the group's own time to form (the platform's); the retry budget (no attempt was left to pay).

--- a/source/core/policy/waiting_line.cpp
+++ b/source/core/policy/waiting_line.cpp
@@ -29,6 +29,13 @@
     add(call, now);
 }
 
+void waiting_line::resume(timestamp now)
+{
+    m_halted_places.reset();
+    m_waits_since = now;
+    m_starts.clear();
+}
+
 std::optional<double> waiting_line::start_rate(timestamp now) const
 {
     const auto measured = std::min(m_options.rate_window,
@@ -44,6 +51,9 @@
 milliseconds waiting_line::retry_after(timestamp now, double draw) const
 {
     const auto rate = start_rate(now);
+    // A group takes a second and more to form.
+    if (m_halted_places)
+        return part_of(m_options.longest_retry_after, (1 + draw) / 2);
     const auto drain_ms = rate ? static_cast<double>(m_calls.size()) / *rate * ms_per_s : 0;
     const auto lowest = static_cast<double>(m_options.shortest_retry_after.count());
     const auto highest = static_cast<double>(m_options.longest_retry_after.count());
@@ -55,9 +65,11 @@
 std::optional<milliseconds> waiting_line::offer(const waiting_call& call, timestamp now,
                                                 double draw)
 {
+    if (m_halted_places && m_calls.size() >= *m_halted_places)
+        return retry_after(now, draw);
     const auto before = std::ranges::count_if(m_calls, [&](const auto& it)
                                               { return it.second.priority <= call.priority; });
-    const auto rate = start_rate(now);
+    const auto rate = m_halted_places ? std::nullopt : start_rate(now);
     const auto wait_ms = rate ? static_cast<double>(before) / *rate * ms_per_s : 0;
     const auto most = part_of(call.deadline - call.arrived, m_options.refused_wait_part);
     if (wait_ms > static_cast<double>(most.count()))
--- a/source/core/policy/waiting_line.hpp
+++ b/source/core/policy/waiting_line.hpp
@@ -52,7 +52,7 @@
 /// is served from what remains, the oldest first, so that a crest delays some calls and not all.
 /// What could only be served too late for its caller is refused on arrival. How fast the line moves
 /// is measured only while calls wait: starts in a calm time tell of the callers, not of the
-/// targets.
+/// targets, and starts before a group formed anew tell nothing of the time after.
 class waiting_line
 {
 public:
@@ -70,6 +70,11 @@
     void remove(std::uint64_t id) { m_calls.erase(id); }
     /// Calls that have waited too long to be served; they leave the line.
     std::vector<std::uint64_t> take_expired(timestamp now);
+    /// No call can start for a while, until a group of targets has formed anew; then `places` can
+    /// start at once. So many may wait, since the pace of the line tells nothing meanwhile.
+    void halt(std::size_t places) { m_halted_places = places; }
+    /// Calls can start again after a halt or a standstill: the pace is measured from now on.
+    void resume(timestamp now);
     /// When a caller that is refused now is to come back.
     milliseconds retry_after(timestamp now, double draw) const;
 
@@ -85,6 +90,7 @@
     waiting_line_options m_options;
     std::map<std::uint64_t, waiting_call> m_calls;
     std::deque<timestamp> m_starts;
+    std::optional<std::size_t> m_halted_places;
     /// Since when calls have waited without a break.
     timestamp m_waits_since;
 };
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -221,6 +221,7 @@
             if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
                 it->second->waited_too_long();
         }
+        follow_halts(name, state, now);
         measure_pace(name, state, now);
         if (!state.line.empty())
             dispatch(name);
@@ -236,6 +237,24 @@
     m_loads.send(m_follower.peers(), own, now);
 }
 
+/// Tells a line when its service's group is lost or stands still, and when it goes on.
+void gateway::follow_halts(const std::string& name, service_state& state, timestamp now)
+{
+    const bool is_forming = state.is_suspect || now < state.held_until;
+    const bool stands = state.pace.has_engine() && !state.progress.is_going(now);
+    if (is_forming)
+    {
+        const auto all = targets().usable(name, now);
+        const auto places = std::accumulate(all.begin(), all.end(), std::size_t{0},
+                                            [](std::size_t sum, const auto* it)
+                                            { return sum + static_cast<std::size_t>(it->slots); });
+        state.line.halt(places / (m_follower.peers().size() + 1));
+    }
+    const bool was_halted = std::exchange(state.is_halted, is_forming || stands);
+    if (was_halted && !state.is_halted)
+        state.line.resume(now);
+}
+
 /// Compares the pauses of the service's streams with what its engines' figures predict.
 void gateway::measure_pace(const std::string& name, service_state& state, timestamp now)
 {
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -59,6 +59,8 @@
     timestamp held_until;
     /// The group was broken, and no call has succeeded since; calls go one by one until one does.
     bool is_suspect = false;
+    /// The line has been told that no call can start, or that streams stand still.
+    bool is_halted = false;
     policy::progress_meter progress;
     policy::engine_pace pace;
 };
@@ -110,6 +112,7 @@
     std::string place(const std::string& name, service_state& state, const exchange& it,
                       timestamp now);
     void tick();
+    void follow_halts(const std::string& name, service_state& state, timestamp now);
     void measure_pace(const std::string& name, service_state& state, timestamp now);
     void state_changed();
     void read_settings(const std::string& text);
--- a/source/unit_tests/policy/waiting_line_test.cpp
+++ b/source/unit_tests/policy/waiting_line_test.cpp
@@ -195,3 +195,83 @@
     for (int i = 0; i < 40; ++i, ++id)
         cr_assert(!line.offer(call_at(id, now), now, 0), "call %d of the burst", i);
 }
+
+namespace
+{
+
+/// Replays a group that forms anew for a while, as after a loss of power, with 20 calls a second at
+/// this router. Once formed, it takes 30 calls at once, and 25 a second beyond them. With `knows`,
+/// the line is told of the group's state.
+tally replay_forming(milliseconds forming, bool knows)
+{
+    constexpr milliseconds call_period{50};
+    constexpr milliseconds length{4000};
+    constexpr milliseconds formed_start_period{40};
+    constexpr std::size_t places = 30;
+    waiting_line line{{}};
+    tally out;
+    std::map<std::uint64_t, timestamp> arrived;
+    std::uint64_t id = 0;
+    const auto formed = start + forming;
+    if (knows)
+        line.halt(places);
+    for (auto now = start; now < start + length; now += milliseconds{10})
+    {
+        if ((now - start) % call_period == milliseconds{0})
+        {
+            arrived[++id] = now;
+            out.refused += line.offer(call_at(id, now), now, 0.5) ? 1 : 0;
+        }
+        out.expired += static_cast<int>(line.take_expired(now).size());
+        if (now < formed)
+            continue;
+        if (now == formed && knows)
+            line.resume(now);
+        const bool starts_one = (now - formed) % formed_start_period == milliseconds{0};
+        for (std::size_t n = now == formed ? places : (starts_one ? 1 : 0); n > 0; --n)
+        {
+            const auto next = line.next(now);
+            if (!next)
+                break;
+            line.started(*next, now);
+            note_start(out, arrived[*next], now);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+Test(waiting_line, a_group_that_forms_anew_finds_as_many_calls_waiting_as_it_can_start)
+{
+    const milliseconds forming{1100};
+    const auto by_rate = replay_forming(forming, false);
+    const auto told = replay_forming(forming, true);
+    cr_assert_gt(by_rate.refused, 0, "the line takes a group that forms for a slow one");
+    cr_assert_eq(told.refused, 0, "%d refused", told.refused);
+    cr_assert_eq(told.expired, 0);
+    cr_assert_gt(told.worth(), by_rate.worth());
+}
+
+Test(waiting_line, no_more_calls_wait_for_a_group_than_it_can_start)
+{
+    waiting_line line{{}};
+    line.halt(3);
+    for (std::uint64_t id = 0; id < 3; ++id)
+        cr_assert_not(line.offer(call_at(id, start), start, 0).has_value());
+    const auto after = line.offer(call_at(9, start), start, 0);
+    cr_assert(after.has_value());
+    cr_assert_geq(after->count(), 1000, "a group takes a second and more to form");
+}
+
+Test(waiting_line, the_pace_of_a_standstill_is_forgotten_when_it_ends)
+{
+    waiting_line line{{}};
+    std::uint64_t id = 0;
+    for (; id < 4; ++id)
+        line.offer(call_at(id, start), start, 0);
+    const auto later = start + milliseconds{1000};
+    cr_assert(line.start_rate(later).has_value());
+    line.resume(later);
+    cr_assert_not(line.start_rate(later + milliseconds{100}).has_value());
+}
--- a/tests/platform/gateway_streams_test.cpp
+++ b/tests/platform/gateway_streams_test.cpp
@@ -232,3 +232,36 @@
     cr_assert_neq(result.how, io::call_end::complete);
     cr_assert_eq(result.answer.body, events_text(1, 3));
 }
+
+/// All members of a group were restarted; until it has formed, each refuses calls and names one
+/// that is missing.
+Test(gateway_streams, calls_wait_for_a_group_that_forms_anew)
+{
+    gateway_site site;
+    bool has_formed = false;
+    const auto member = [&](const io::http_request& request, const reply& out)
+    {
+        if (has_formed)
+            return whole_stream(request, out);
+        out.write(
+            whole_answer(request, 503, "", "X-Not-Executed: 1\r\nAt-Server: 127.0.0.1:1\r\n"));
+    };
+    for (const auto* id : {"e-0", "e-1", "e-2", "e-3", "e-4", "e-5"})
+        site.add_target(id, "engine", member);
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready());
+    std::vector<std::shared_ptr<open_call>> calls;
+    constexpr int callers = 10;
+    calls.reserve(callers);
+    for (int i = 0; i < callers; ++i)
+    {
+        calls.push_back(site.begin(site.request("/draft/x", common::concat("r", i), "{}")));
+        site.run_for(common::milliseconds{60});
+    }
+    has_formed = true;
+    for (const auto& it : calls)
+    {
+        cr_assert(site.wait_until([&] { return it->result.ended; }));
+        cr_assert_eq(it->result.answer.status, 200);
+    }
+}
