Mend what the linter found

Cause: clang-tidy 14 knows neither std::views::take over a vector nor structured bindings in lambdas. Change: a span's first elements; names for the entry's halves.

--- a/source/core/shell/settings_follower.cpp
+++ b/source/core/shell/settings_follower.cpp
@@ -5,10 +5,10 @@
 
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iterator>
-#include <ranges>
 #include <sstream>
 
 namespace kumquatgap::shell
@@ -69,7 +69,8 @@
                 std::span<const std::string_view> reloadable)
 {
     using common::log_level;
-    for (const auto& it : mistakes | std::views::take(most_logged_mistakes))
+    const auto logged = std::span{mistakes}.first(std::min(mistakes.size(), most_logged_mistakes));
+    for (const auto& it : logged)
         common::log(log_level::error, "settings_refused",
                     {{"code", common::number(common::result_code::bad_settings)},
                      {"line", it.line},
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -131,8 +131,10 @@
                   static_cast<std::int64_t>(m_client.connections_opened()));
     m_follower.write_metrics(m_metrics, now);
     m_loads.write_metrics(m_metrics, now);
-    for (const auto& [name, state] : m_services)
+    for (const auto& it : m_services)
     {
+        const auto& name = it.first;
+        const auto& state = it.second;
         const auto set = [&](std::string_view what, std::int64_t value)
         { m_metrics.set(common::concat(what, "{service=\"", name, "\"}"), value); };
         set("kqg_calls_waiting", static_cast<std::int64_t>(state.line.size()));
