Give each group of a service a controller of its own

A service there has many groups, and the lease was one a service, so that one controller took the ranks of all groups, whose numbers are the same, for one group.

Change: the lease is `kqg/groups/<service>/<group>`, taken once the rank has named its group; a rank that turns up in another group starts anew there; a controller passes over what ranks of other groups say.

Ruled out: the switch itself (the model finds no break within a group; the two ranks had different controllers' maps).

--- a/source/core/experts/agent_message.cpp
+++ b/source/core/experts/agent_message.cpp
@@ -168,9 +168,10 @@
     json operator()(const choices_message& m) const
     {
         const auto unit = unit_of(m.choices);
-        return {{"kind", choices_kind}, {"epoch", m.epoch}, {"rank", m.rank},
-                {"version", m.version}, {"unit", unit},     {"choices", to_json(m.choices, unit)},
-                {"held", m.held}};
+        return {{"kind", choices_kind}, {"group", m.group},
+                {"epoch", m.epoch},     {"rank", m.rank},
+                {"version", m.version}, {"unit", unit},
+                {"held", m.held},       {"choices", to_json(m.choices, unit)}};
     }
 
     json operator()(const directive_message& m) const
@@ -199,6 +200,7 @@
 choices_message choices_from(const json& it)
 {
     choices_message out;
+    out.group = it.at("group");
     out.epoch = it.at("epoch");
     out.rank = it.at("rank");
     out.version = it.at("version");
--- a/source/core/experts/agent_message.hpp
+++ b/source/core/experts/agent_message.hpp
@@ -25,6 +25,7 @@
 /// What a rank's requests chose since the last such message, and what the rank holds.
 struct choices_message
 {
+    std::string group;
     std::int64_t epoch = 0;
     rank_number rank = 0;
     map_version version = 0;
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -20,8 +20,10 @@
 
 } // namespace
 
-group_controller::group_controller(experts::fencing_token token, controller_options options)
-    : m_options{options}, m_switch{token, {}}, m_popularity{options.half_life}
+group_controller::group_controller(std::string group, experts::fencing_token token,
+                                   controller_options options)
+    : m_group{std::move(group)}, m_options{options}, m_switch{token, {}}, m_popularity{
+                                                                              options.half_life}
 {
 }
 
@@ -61,6 +63,8 @@
 
 void group_controller::take(const experts::status_message& m, timestamp now)
 {
+    if (m.status.report.group != m_group)
+        return;
     m_addresses.insert_or_assign(m.status.report.rank, m.address);
     m_targets.insert_or_assign(m.status.report.rank, m.target);
     take(m.status, now);
@@ -68,6 +72,8 @@
 
 void group_controller::take(const experts::rank_status& s, timestamp now)
 {
+    if (s.report.group != m_group)
+        return;
     m_switch.take(s, now);
     if (m_switch.epoch() == m_epoch)
         return;
@@ -80,7 +86,7 @@
 
 void group_controller::take(const experts::choices_message& m, timestamp now)
 {
-    if (m.epoch != m_epoch)
+    if (m.group != m_group || m.epoch != m_epoch)
         return;
     m_popularity.add(m.choices, now);
     m_held.insert_or_assign(m.rank, m);
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -35,11 +35,12 @@
 };
 
 /// The controller of one group while its agent holds the lease: adds up what the ranks chose,
-/// plans maps, and switches to them.
+/// plans maps, and switches to them. It passes over what ranks of other groups say, whose numbers
+/// are the same: an agent that was moved may still tell the controller that it had.
 class group_controller
 {
 public:
-    group_controller(experts::fencing_token token, controller_options options);
+    group_controller(std::string group, experts::fencing_token token, controller_options options);
 
     void set_engine(const fleet::engine_profile& it) { m_engine = it; }
     bool has_engine() const { return m_engine.has_value(); }
@@ -81,6 +82,7 @@
     void plan(timestamp now);
     void log_phase(timestamp now);
 
+    std::string m_group;
     controller_options m_options;
     experts::switch_controller m_switch;
     experts::directive_pacer m_pacer{experts::pacer_options{}};
--- a/source/rank_agent/leadership.cpp
+++ b/source/rank_agent/leadership.cpp
@@ -57,6 +57,12 @@
                            });
 }
 
+void leadership::stop()
+{
+    lost("another group");
+    m_timer.reset();
+}
+
 std::optional<experts::fencing_token> leadership::token(timestamp now) const
 {
     const bool has_slept = boot_offset_ms() - m_boot_offset_ms > most_clock_drift_ms;
--- a/source/rank_agent/leadership.hpp
+++ b/source/rank_agent/leadership.hpp
@@ -19,6 +19,9 @@
     leadership(io::event_loop& loop, kv::store& store, std::string key, std::string address);
 
     void start();
+    /// Stops leading and asks the store for nothing more. The object must live on, since an answer
+    /// may be under way.
+    void stop();
     /// Stops leading; the lease runs out by itself, and the next one has a higher token.
     void give_up() { lost("given up"); }
     /// The token while this process surely leads.
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -1,6 +1,7 @@
 #include "rank_agent/rank_agent.hpp"
 
 #include "common/log.hpp"
+#include "common/text.hpp"
 #include "rank_agent/agent_number.hpp"
 
 #include <array>
@@ -57,8 +58,6 @@
                        const rank_wire& names, rank_agent_settings settings)
     : m_loop{loop}, m_client{client}, m_wire{names}, m_settings{std::move(settings)},
       m_driver{draw_agent_number(), common::now(), m_settings.checks_fences},
-      m_leadership{loop, store, "kqg/groups/" + m_settings.service,
-                   m_settings.common.control_address},
       m_pace_notice{store, m_settings.target}, m_store{store},
       m_socket{loop, [this](std::string_view bytes) { receive(bytes); }},
       m_metrics_server{
@@ -89,7 +88,6 @@
     m_loop.on_signal(SIGINT, [this] { begin_shutdown(); });
     m_settings_follower = std::make_unique<shell::settings_follower>(
         m_loop, shell::settings_path(), [this](const std::string& text) { read_settings(text); });
-    m_leadership.start();
     m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
     common::log(common::log_level::info, "started", {{"target", m_settings.target}});
     m_loop.run();
@@ -108,6 +106,31 @@
     m_settings.common.log_level = changed->common.log_level;
 }
 
+/// Each group of a service has a controller and a lease of its own. What was decided in another
+/// group means nothing here.
+void rank_agent::join_group(const std::string& name)
+{
+    common::log(common::log_level::info, "group_joined", {{"group", name}, {"left", m_group}});
+    m_group = name;
+    m_remote_ranks.clear();
+    m_controller.reset();
+    if (m_leadership)
+    {
+        m_leadership->stop();
+        m_left_groups.push_back(std::move(m_leadership));
+        m_driver = {draw_agent_number(), common::now(), m_settings.checks_fences};
+    }
+    m_leadership = std::make_unique<leadership>(
+        m_loop, m_store, common::concat("kqg/groups/", m_settings.service, "/", name),
+        m_settings.common.control_address);
+    m_leadership->start();
+}
+
+std::string rank_agent::leader_address() const
+{
+    return m_leadership ? m_leadership->leader_address() : std::string{};
+}
+
 void rank_agent::send(const std::string& address, const experts::agent_message& m)
 {
     const auto& own = m_settings.common;
@@ -179,6 +202,8 @@
 {
     if (!r)
         return;
+    if (r->group != m_group)
+        join_group(r->group);
     m_driver.take(*r);
     if (r->version != m_held.version || r->epoch != m_held_epoch)
         read_held();
@@ -190,7 +215,7 @@
 /// Tells the controller of the rank's state when that has changed, and else from time to time.
 void rank_agent::tell_status(timestamp now)
 {
-    const auto& leader = m_leadership.leader_address();
+    const auto leader = leader_address();
     if (leader.empty())
         return;
     const auto status = m_driver.status(now);
@@ -297,7 +322,7 @@
 
 void rank_agent::send_choices(std::vector<std::vector<std::int64_t>> choices)
 {
-    const auto& leader = m_leadership.leader_address();
+    const auto leader = leader_address();
     if (leader.empty() || !m_driver.has_report() || m_held_epoch != m_driver.report().epoch)
         return;
     const auto& r = m_driver.report();
@@ -306,8 +331,8 @@
     if (now - m_choices_told < choices_spacing * r.size)
         return;
     m_choices_told = now;
-    send(leader, experts::choices_message{r.epoch, r.rank, m_held.version, std::move(choices),
-                                          m_held.sets});
+    send(leader, experts::choices_message{r.group, r.epoch, r.rank, m_held.version,
+                                          std::move(choices), m_held.sets});
 }
 
 /// Reads what the operators publish of the group's engines.
@@ -329,9 +354,11 @@
 
 void rank_agent::lead(timestamp now)
 {
+    if (!m_leadership)
+        return;
     if (m_controller && m_controller->is_used_up())
-        m_leadership.give_up();
-    const auto token = m_leadership.token(now);
+        m_leadership->give_up();
+    const auto token = m_leadership->token(now);
     if (!token || (m_controller && m_controller->token() != *token))
     {
         m_remote_ranks.clear();
@@ -340,7 +367,7 @@
     if (!token)
         return;
     if (!m_controller)
-        m_controller = std::make_unique<group_controller>(*token, controller_options{});
+        m_controller = std::make_unique<group_controller>(m_group, *token, controller_options{});
     if (!m_controller->has_engine() && now - m_engine_asked >= engine_period)
         read_engine(now);
     move_switch_on(now);
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace kumquatgap::rank_agent
 {
@@ -74,6 +75,8 @@
     void read_engine(common::timestamp now);
     void stand_in_for_agents(common::timestamp now);
     void read_settings(const std::string& text);
+    void join_group(const std::string& name);
+    std::string leader_address() const;
     void begin_shutdown();
 
     io::event_loop& m_loop;
@@ -81,7 +84,11 @@
     const rank_wire& m_wire;
     rank_agent_settings m_settings;
     experts::rank_driver m_driver;
-    leadership m_leadership;
+    /// The rank's group; empty before its first report.
+    std::string m_group;
+    std::unique_ptr<leadership> m_leadership;
+    /// Those of groups that the rank has left.
+    std::vector<std::unique_ptr<leadership>> m_left_groups;
     pace_notice m_pace_notice;
     std::unique_ptr<group_controller> m_controller;
     /// Ranks that are driven from here while their agents are silent.
--- a/tests/platform/rank_agents_test.cpp
+++ b/tests/platform/rank_agents_test.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::size_t ranks = 4;
 constexpr milliseconds longest_wait{20'000};
-constexpr std::string_view lease_key = "kqg/groups/engine";
+constexpr std::string_view lease_key = "kqg/groups/engine/g";
 
 std::vector<std::string> free_addresses()
 {
@@ -40,7 +40,9 @@
     std::string folder =
         (std::filesystem::temp_directory_path() / ("kqg-agents-" + std::to_string(::getpid())))
             .string();
-    std::vector<std::string> addresses = free_addresses();
+    /// The agents' addresses, and those of the ranks beside them.
+    std::vector<std::string> addresses;
+    std::vector<std::string> targets;
     std::vector<std::unique_ptr<failures::process>> agents;
 
     agents_site()
@@ -49,13 +51,20 @@
         store.put("op/config",
                   R"({"version":1,"routes":[],"services":[{"name":"engine","engine":{"slots":4,)"
                   R"("sets":1,"experts":16,"placements":8,"spare":3}}]})");
-        for (std::size_t i = 0; i < ranks; ++i)
+        add_agents(group);
+    }
+
+    void add_agents(const stand_ins::rank_group& of)
+    {
+        for (std::size_t rank = 0; rank < ranks; ++rank)
         {
+            const auto i = agents.size();
+            addresses.push_back(failures::free_address());
+            targets.push_back(of.address(rank));
             std::ofstream{settings(i)}
                 << "[process]\nhost = agent-" << i << "\ndata_centre = a\ndeployment_token = t\n"
                 << "[store]\naddress = " << store.address() << "\ntimeout_ms = 800\n"
-                << "[control]\nlisten = " << addresses[i]
-                << "\n[rank]\ntarget = " << group.address(i)
+                << "[control]\nlisten = " << addresses[i] << "\n[rank]\ntarget = " << targets[i]
                 << "\nservice = engine\nchecks_fences = true\n";
             agents.push_back(nullptr);
             start(i);
@@ -235,3 +244,20 @@
     site.agents[2]->kill();
     cr_assert(site.wait_until([&] { return !site.store.contains(key); }));
 }
+
+/// The ranks of both groups have the same numbers, and their agents share a store.
+Test(rank_agents, of_two_groups_of_a_service_each_get_maps_of_their_own)
+{
+    agents_site site;
+    stand_ins::rank_group other{site.loop, free_addresses(), "h"};
+    site.add_agents(other);
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto before = other.version();
+        other.shift_popularity();
+        cr_assert(site.gets_new_map());
+        cr_assert(site.wait_until([&] { return other.version() > before; }));
+    }
+    site.check_whole();
+    cr_assert_eq(other.broken_passes(), 0);
+}
--- a/tests/stand_ins/rank_group.cpp
+++ b/tests/stand_ins/rank_group.cpp
@@ -43,13 +43,14 @@
 
 } // namespace
 
-rank_group::rank_group(io::event_loop& loop, std::vector<std::string> addresses) : m_loop{loop}
+rank_group::rank_group(io::event_loop& loop, std::vector<std::string> addresses, std::string name)
+    : m_loop{loop}, m_name{std::move(name)}
 {
     for (auto& address : addresses)
     {
         auto it = std::make_unique<rank>();
         it->address = std::move(address);
-        it->engine.state.group = "g";
+        it->engine.state.group = m_name;
         it->engine.state.rank = static_cast<int>(m_ranks.size());
         it->engine.state.size = static_cast<int>(addresses.size());
         it->counts.assign(experts, 0);
@@ -76,7 +77,7 @@
     for (const auto& it : m_ranks)
     {
         it->engine.restart(m_epoch);
-        it->engine.state.group = "g";
+        it->engine.state.group = m_name;
         it->prepared_map.clear();
         it->map.clear();
     }
--- a/tests/stand_ins/rank_group.hpp
+++ b/tests/stand_ins/rank_group.hpp
@@ -32,7 +32,7 @@
     static constexpr int experts = 16;
     static constexpr int places = 8;
 
-    rank_group(io::event_loop& loop, std::vector<std::string> addresses);
+    rank_group(io::event_loop& loop, std::vector<std::string> addresses, std::string name = "g");
     rank_group(const rank_group&) = delete;
     rank_group& operator=(const rank_group&) = delete;
     ~rank_group();
@@ -73,6 +73,7 @@
     void begin_pass();
 
     io::event_loop& m_loop;
+    std::string m_name;
     std::vector<std::unique_ptr<rank>> m_ranks;
     std::vector<double> m_popularity;
     std::mt19937_64 m_random{7};
