Hold a service's calls for a lost group only when none of its streams goes on

Cause: a service may have several groups, of which the gateways know nothing. A target that refuses a call for want of a member of its group made the gateway hold the whole service for 250 ms and then send calls one by one until one succeeded, while the streams of the other groups went on.

Change: such a refusal means a lost service only when no stream of the service has sent anything for 250 ms (all ranks of a group stall together); else the target alone is left alone. Only streams count as progress, not the bodies of refusals.

Ruled out: the entries (they name no group); a key of the agents for each target (1,900 more keys; not needed for this).

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -86,7 +86,6 @@
 void attempt::take_data(std::string_view bytes)
 {
     m_last_heard = common::now();
-    m_gateway.service(m_plan.target.service).progress.note(m_last_heard);
     if (!m_is_stream)
     {
         m_body += bytes;
@@ -94,6 +93,7 @@
             m_call.reset();
         return;
     }
+    m_gateway.service(m_plan.target.service).progress.note(m_last_heard);
     const std::weak_ptr<bool> alive = m_alive;
     m_events.feed(bytes,
                   [&](std::string_view text)
@@ -117,6 +117,12 @@
     return is_whole ? attempt_outcome::answered : attempt_outcome::unknown;
 }
 
+bool attempt::shows_lost_service() const
+{
+    const auto& progress = m_gateway.service(m_plan.target.service).progress;
+    return !m_head.fault_target.empty() && !progress.is_going(common::now());
+}
+
 void attempt::end(io::call_end how, const io::http_answer& answer)
 {
     m_end = how;
@@ -124,8 +130,12 @@
     auto health = target_health::broken;
     if (outcome == attempt_outcome::answered)
         health = answer.status < first_server_error ? target_health::good : target_health::failed;
+    else if (outcome == attempt_outcome::refused_unrun && m_head.fault_target.empty())
+        health = target_health::failed;
+    else if (outcome == attempt_outcome::refused_unrun && !shows_lost_service())
+        health = target_health::broken;
     else if (outcome == attempt_outcome::refused_unrun)
-        health = m_head.fault_target.empty() ? target_health::failed : target_health::unknown;
+        health = target_health::unknown;
     note_end(health);
     auto whole = answer;
     whole.body = std::move(m_body);
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -64,6 +64,10 @@
     const std::string& fault_target() const { return m_head.fault_target; }
     /// How its connection ended.
     io::call_end connection_end() const { return m_end; }
+    /// True when the target named a member of its group that is at fault, and no stream of the
+    /// service goes on: then its group is lost. Else the service has other groups, and only this
+    /// one is lost.
+    bool shows_lost_service() const;
     /// Ends the attempt from this side; the listener hears nothing more.
     void cancel(policy::target_health health);
 
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -244,7 +244,7 @@
         return answered(it, answer);
     if (outcome == attempt_outcome::other_target)
         m_gateway.target_found_wrong(it.target().id);
-    if (outcome == attempt_outcome::refused_unrun && !it.fault_target().empty())
+    if (outcome == attempt_outcome::refused_unrun && it.shows_lost_service())
         hold_service(it);
     else
         m_tried.insert(it.target().id);
@@ -252,7 +252,7 @@
     not_answered(outcome);
 }
 
-/// A member of the group has failed, so that none of its targets can serve for now.
+/// A member of the service's one group has failed, so that no target can serve for now.
 void exchange::hold_service(const attempt& it)
 {
     auto& state = m_gateway.service(m_service);
--- a/tests/platform/gateway_streams_test.cpp
+++ b/tests/platform/gateway_streams_test.cpp
@@ -265,3 +265,37 @@
         cr_assert_eq(it->result.answer.status, 200);
     }
 }
+
+/// A service may have several groups. Two streams run on in one of them, while the members of the
+/// other refuse calls for want of one that is gone.
+Test(gateway_streams, a_broken_group_does_not_hold_up_the_others_of_its_service)
+{
+    gateway_site site;
+    std::vector<io::timer_handle> running;
+    const auto broken = [](const io::http_request& request, const reply& out) {
+        out.write(
+            whole_answer(request, 503, "", "X-Not-Executed: 1\r\nAt-Server: 127.0.0.1:1\r\n"));
+    };
+    const auto whole = [&](const io::http_request& request, const reply& out)
+    {
+        if (!request.headers.find("x-request-id").starts_with("long"))
+            return whole_stream(request, out);
+        out.write(stream_head(request));
+        running.push_back(site.loop().every(common::milliseconds{50}, [out, n = 0]() mutable
+                                            { out.write(stream_event(++n)); }));
+    };
+    for (const auto* id : {"a-0", "a-1", "a-2"})
+        site.add_target(id, "engine", broken);
+    for (const auto* id : {"b-0", "b-1", "b-2"})
+        site.add_target(id, "engine", whole);
+    site.put_config(site.config(5));
+    cr_assert(site.wait_ready());
+    const auto first = site.begin(site.request("/draft/x", "long-1", "{}"));
+    const auto second = site.begin(site.request("/draft/x", "long-2", "{}"));
+    cr_assert(site.wait_until([&] { return !first->so_far.empty() && !second->so_far.empty(); }));
+    for (int i = 0; i < 12; ++i)
+    {
+        const auto result = site.call(site.request("/draft/x", common::concat("r", i), "{}"));
+        cr_assert_eq(result.answer.status, 200, "call %d got %d", i, result.answer.status);
+    }
+}
