Wait for a lapsed entry only as long as it may take to come back

The store came back to one gateway at 23.57; the entry of a target that left without a word was removed at 24.71; since that was within 3 s of the store's return, the gateway kept the target for 2 s from the removal on. Entries that lapsed for want of the store are back within 2 s of its return, not of their removal.

Change: a removed entry's target serves until 2 s after the store's return, and never for more than 1.7 s.

Ruled out: the watch (the removal was read 7 ms after it); a call on its way for long (7 ms).

--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -1,5 +1,7 @@
 #include "fleet/target_table.hpp"
 
+#include <algorithm>
+
 namespace kumquatgap::fleet
 {
 
@@ -28,15 +30,16 @@
         drop_claim(it->second.it);
 }
 
-void target_table::remove(const std::string& id, timestamp now, bool store_was_away)
+void target_table::remove(const std::string& id, timestamp now,
+                          std::optional<timestamp> store_back_at)
 {
     const auto it = m_rows.find(id);
     if (it == m_rows.end())
         return;
-    if (store_was_away && !it->second.it.is_leaving)
+    if (store_back_at && !it->second.it.is_leaving)
     {
         if (!it->second.gone_at)
-            it->second.gone_at = now + lapse_grace;
+            it->second.gone_at = std::min(now + longest_kept, *store_back_at + lapse_grace);
         return;
     }
     drop_claim(it->second.it);
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -42,11 +42,15 @@
 public:
     /// How long a lapsed entry may take to come back once the store serves again.
     static constexpr milliseconds lapse_grace{2000};
+    /// No target serves for longer once its entry is gone: it may have left, and then serves for
+    /// two seconds more (the users' drainMs), of which a call needs some for its way.
+    static constexpr milliseconds longest_kept{1700};
 
     /// An entry was written.
     void put(target it);
-    /// An entry is gone. `store_was_away` tells that it may have lapsed for want of the store.
-    void remove(const std::string& id, timestamp now, bool store_was_away);
+    /// An entry is gone. `store_back_at` is set if it may have lapsed for want of the store: when
+    /// the store came back, or now while it is away.
+    void remove(const std::string& id, timestamp now, std::optional<timestamp> store_back_at);
 
     /// What answers at the target's address says that it is another one. The entry names nobody
     /// until it is written again.
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -20,8 +20,6 @@
 /// A gateway that has gone is forgotten after this long.
 constexpr milliseconds registration_ttl{10'000};
 constexpr milliseconds registration_period{3000};
-/// Entries that lapse in an outage reach a watcher within this time after the store's return.
-constexpr milliseconds after_outage{3000};
 
 membership::spreader_options spreading()
 {
@@ -150,9 +148,14 @@
     carry_out(m_spreader.store_failed(common::now()));
 }
 
-bool state_follower::store_was_away() const
+/// When the store came back, if an entry that goes now may have lapsed for want of it; now while
+/// it is away.
+std::optional<common::timestamp> state_follower::lapse_cause(common::timestamp now) const
 {
-    return m_store_is_lost || common::now() - m_store_back_at < after_outage;
+    if (m_store_is_lost)
+        return now;
+    const bool is_recent = now - m_store_back_at < fleet::target_table::lapse_grace;
+    return is_recent ? std::optional{m_store_back_at} : std::nullopt;
 }
 
 /// Reads what is new in the replica. Items are compared by revision, so that a change costs the
@@ -202,7 +205,7 @@
         return;
     auto found = m_wire.read_target(id, it.value);
     if (!found)
-        return m_targets.remove(std::string{id}, common::now(), false);
+        return m_targets.remove(std::string{id}, common::now(), std::nullopt);
     common::log(common::log_level::info, "target_learnt",
                 {{"target", found->id},
                  {"service", found->service},
@@ -253,9 +256,11 @@
     const auto id = m_wire.target_id(key);
     if (id.empty())
         return;
+    const auto now = common::now();
+    const auto lapsed_for = lapse_cause(now);
     common::log(common::log_level::info, "target_gone",
-                {{"target", id}, {"store_was_away", store_was_away() ? 1 : 0}});
-    m_targets.remove(std::string{id}, common::now(), store_was_away());
+                {{"target", id}, {"store_was_away", lapsed_for ? 1 : 0}});
+    m_targets.remove(std::string{id}, now, lapsed_for);
 }
 
 void state_follower::adopt_configuration(const kv::key_value& it)
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,7 +52,7 @@
     void receive(std::string_view bytes);
     void store_answered();
     void store_lost(const common::failure& why);
-    bool store_was_away() const;
+    std::optional<common::timestamp> lapse_cause(common::timestamp now) const;
     void refresh();
     void read_pace(const kv::key_value& it);
     void read_written(const kv::key_value& it);
