Bound what a target may send, and outlive an early SIGHUP

Cause: an answer that passed the limit on collected bytes left its attempt without an end; heads, fields behind a body, sizes and extensions of chunks and events had no limit at the gateway, answers none at the agent, and a peer that sent byte by byte was never silent. Change: a client connection allows 64 KiB of head, and 256 KiB and 8 bytes for each byte of body around it; an event may have 256 KiB, an answer 16 MiB, all answers that a gateway collects 48 MiB; calls to the store and to ranks end in all after a limit; only whole events count as a sign of life. SIGHUP is ignored from the first line of main. Ruled out: none; each hole was found by reading.

--- a/source/agent/exchange.cpp
+++ b/source/agent/exchange.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t body_part_bytes = std::size_t{64} << 10;
 /// A router that leaves this much unread is cut off.
 constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20;
+/// The longest plain answer that is collected.
+constexpr std::size_t max_answer_bytes = std::size_t{16} << 20;
 constexpr int first_server_error = 500;
 
 failure to_failure(io::call_end how)
@@ -28,6 +30,8 @@
         return {result_code::target_unreachable, ""};
     if (how == io::call_end::silent)
         return {result_code::target_timeout, "the target fell silent"};
+    if (how == io::call_end::oversized)
+        return {result_code::answer_too_long, ""};
     return {result_code::stream_cut, "the connection to the target was lost"};
 }
 
@@ -157,6 +161,8 @@
     if (!m_stream)
     {
         m_body += bytes;
+        if (m_body.size() > max_answer_bytes)
+            target_failed({result_code::answer_too_long, ""}, true);
         return;
     }
     const auto self = shared_from_this();
@@ -168,7 +174,7 @@
                                                       token_received(event.data);
                                               });
     if (!short_enough && !m_finished)
-        target_failed({result_code::bad_target_answer, "an event is too long"}, true);
+        target_failed({result_code::answer_too_long, "an event has no end"}, true);
 }
 
 void exchange::token_received(std::string_view data)
--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -57,6 +57,8 @@
     {target_timeout, "target_timeout", 504, unknown, "The target sent nothing in time."},
     {answer_not_kept, "answer_not_kept", 409, ran,
      "The call ran before; its answer was too long to be kept."},
+    {answer_too_long, "answer_too_long", 502, unknown,
+     "The target sent more than an answer may have."},
 
     {conflict, "conflict", 409, not_run, "The resource has changed since it was read."},
     {not_found, "not_found", 404, not_run, "There is no such resource."},
--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -59,6 +59,7 @@
     caller_gone = 3006,
     target_timeout = 3007,
     answer_not_kept = 3008,
+    answer_too_long = 3009,
 
     conflict = 4001,
     not_found = 4002,
--- a/source/core/io/client_connection.cpp
+++ b/source/core/io/client_connection.cpp
@@ -27,6 +27,14 @@
 /// How long a connection is kept when the peer says nothing of its limit.
 constexpr milliseconds default_idle_limit{4000};
 
+/// The longest head of an answer, with the fields behind its body.
+constexpr std::size_t most_head_bytes = std::size_t{64} << 10;
+/// Bytes around a body that carry nothing of it: heads, sizes of chunks and their extensions,
+/// answers of somebody else. An answer may have this many, and some for each byte of its body,
+/// since a chunk of one byte takes six.
+constexpr std::size_t most_framing_bytes = std::size_t{256} << 10;
+constexpr std::size_t framing_bytes_per_body_byte = 8;
+
 /// The number of seconds in `timeout=N` of a Keep-Alive field.
 std::optional<milliseconds> keep_alive_limit(std::string_view field)
 {
@@ -83,6 +91,9 @@
     m_call = &call;
     m_done = false;
     m_can_be_kept = false;
+    m_body_too_long = false;
+    m_read_bytes = 0;
+    m_body_bytes = 0;
     m_reader.expect_no_body(request.method == "HEAD");
     std::string head = request.method + " " + request.path;
     if (!request.query.empty())
@@ -162,6 +173,9 @@
         m_call->heard();
         const auto used = m_reader.feed({data, std::min(chunk, n)});
         evbuffer_drain(input, used);
+        m_read_bytes += used;
+        if (m_call != nullptr && is_oversized())
+            return finish(call_end::oversized);
         if (m_call != nullptr && m_reader.has_failed())
             return finish(call_end::malformed);
         if (m_done)
@@ -169,6 +183,14 @@
     }
 }
 
+/// True when the peer has sent more than an answer may have, so that it may never end.
+bool client_connection::is_oversized() const
+{
+    const auto framing = m_read_bytes - m_body_bytes;
+    return m_body_too_long || m_reader.head_bytes() > most_head_bytes ||
+           framing > most_framing_bytes + m_body_bytes * framing_bytes_per_body_byte;
+}
+
 void client_connection::closed(bool in_order)
 {
     m_connection_lost = true;
@@ -212,7 +234,11 @@
 {
     if (m_call == nullptr)
         return false;
-    return m_skipping || (m_call->take_body(bytes) && m_call != nullptr);
+    if (m_skipping)
+        return true;
+    m_body_bytes += bytes.size();
+    m_body_too_long = !m_call->take_body(bytes);
+    return !m_body_too_long && m_call != nullptr;
 }
 
 bool client_connection::on_complete()
--- a/source/core/io/client_connection.hpp
+++ b/source/core/io/client_connection.hpp
@@ -41,6 +41,7 @@
     void closed(bool in_order);
     void finish(call_end how);
     void note_idle_limit();
+    bool is_oversized() const;
 
     http_client& m_client;
     bufferevent* m_bev = nullptr;
@@ -52,6 +53,11 @@
     bool m_skipping = false;
     bool m_interim = false;
     bool m_done = false;
+    /// The call's body is longer than the call allows.
+    bool m_body_too_long = false;
+    /// Bytes read for the current call, and those of them that were its body.
+    std::size_t m_read_bytes = 0;
+    std::size_t m_body_bytes = 0;
     common::timestamp m_idle_since;
     std::optional<common::milliseconds> m_idle_limit;
 };
--- a/source/core/io/http_client.cpp
+++ b/source/core/io/http_client.cpp
@@ -13,8 +13,8 @@
 
 constexpr std::size_t max_idle_per_address = 64;
 
-constexpr auto s_end_names =
-    std::to_array<std::string_view>({"complete", "not_connected", "cut", "silent", "malformed"});
+constexpr auto s_end_names = std::to_array<std::string_view>(
+    {"complete", "not_connected", "cut", "silent", "malformed", "oversized"});
 
 } // namespace
 
@@ -35,6 +35,9 @@
         return;
     }
     heard();
+    if (m_options.whole_timeout.count() != 0)
+        m_whole_timer =
+            m_client.m_loop.after(m_options.whole_timeout, [this] { end(call_end::silent); });
     if (!m_connection->is_connected())
         m_connect_timer = m_client.m_loop.after(m_options.connect_timeout,
                                                 [this]
@@ -99,6 +102,7 @@
     if (std::exchange(m_ended, true))
         return;
     m_silence_timer.reset();
+    m_whole_timer.reset();
     m_connect_timer.reset();
     if (const auto connection = std::move(m_connection))
     {
--- a/source/core/io/http_client.hpp
+++ b/source/core/io/http_client.hpp
@@ -23,10 +23,12 @@
     not_connected,
     /// The connection was lost before the answer's end.
     cut,
-    /// Nothing arrived for as long as the call allows.
+    /// Nothing arrived, or not all, for as long as the call allows.
     silent,
     /// The peer sent bytes that are no answer.
-    malformed
+    malformed,
+    /// The peer sent more than an answer may have.
+    oversized
 };
 
 /// The name of an end, for logs.
@@ -52,6 +54,9 @@
     common::milliseconds connect_timeout{1000};
     /// The longest time without a byte from the peer; 0 for none.
     common::milliseconds silence_timeout{0};
+    /// The longest time for the whole answer, since a peer that sends byte by byte is never silent;
+    /// 0 for none.
+    common::milliseconds whole_timeout{0};
     /// False for calls that must not repeat: these never use a kept connection.
     bool reuse_connection = true;
     /// A kept connection is used only when it has been idle for less than this.
@@ -95,6 +100,7 @@
     http_answer m_answer;
     timer_handle m_connect_timer;
     timer_handle m_silence_timer;
+    timer_handle m_whole_timer;
     bool m_ended = false;
 };
 
--- a/source/core/io/sse.hpp
+++ b/source/core/io/sse.hpp
@@ -15,6 +15,9 @@
     std::string_view id;
     std::string_view event;
     std::string_view data;
+
+    /// True for an event that carries nothing, such as a comment.
+    bool is_blank() const { return id.empty() && data.empty(); }
 };
 
 /// Reads the fields of one event. Lines that start with a colon are comments and give nothing.
@@ -24,9 +27,12 @@
 class sse_splitter
 {
 public:
-    /// The longest event that is accepted, in bytes.
+    /// The longest event that is accepted unless the owner says otherwise, in bytes.
     static constexpr std::size_t max_event_bytes = std::size_t{4} << 20;
 
+    sse_splitter() = default;
+    explicit sse_splitter(std::size_t most_bytes) : m_most_bytes{most_bytes} {}
+
     /// Adds bytes and calls fn with the text of each whole event, without its blank line.
     /// Returns false when an event is too long.
     template <class F>
@@ -44,7 +50,7 @@
             split(view, fn);
             m_rest.erase(0, m_rest.size() - view.size());
         }
-        return m_rest.size() <= max_event_bytes;
+        return m_rest.size() <= m_most_bytes;
     }
 
     /// True when bytes of an unfinished event are left.
@@ -61,6 +67,7 @@
         }
     }
 
+    std::size_t m_most_bytes = max_event_bytes;
     std::string m_rest;
 };
 
--- a/source/core/kv/etcd_store.cpp
+++ b/source/core/kv/etcd_store.cpp
@@ -178,7 +178,10 @@
         m_options.address,
         {"POST", std::move(path), {}, {{"Content-Type", "application/json"}}, body.dump()},
         {{}, {}, on_end},
-        {.connect_timeout = m_options.timeout, .silence_timeout = m_options.timeout});
+        {.connect_timeout = m_options.timeout,
+         .silence_timeout = m_options.timeout,
+         .whole_timeout = m_options.timeout * whole_over_silence,
+         .most_body_bytes = most_answer_bytes});
 }
 
 void etcd_store::range(std::string prefix, callback<range_answer> done)
@@ -294,6 +297,8 @@
     void feed(std::string_view data)
     {
         m_rest += data;
+        if (m_rest.size() > most_answer_bytes)
+            return end({result_code::store_unavailable, "a watch report has no end"});
         for (auto n = m_rest.find('\n'); n != std::string::npos && m_call; n = m_rest.find('\n'))
         {
             const auto line = m_rest.substr(0, n);
--- a/source/core/kv/store.hpp
+++ b/source/core/kv/store.hpp
@@ -19,6 +19,13 @@
 /// A lease of the platform's store; 0 stands for none.
 using lease_id = std::int64_t;
 
+/// The longest answer of the store: several values of a megabyte, as text, in one report of a
+/// watch.
+inline constexpr std::size_t most_answer_bytes = std::size_t{16} << 20;
+/// An answer may take this many times its limit on silence in all; a page of a range over the
+/// slowest link takes less.
+inline constexpr int whole_over_silence = 4;
+
 /// A key with its value and the revision of its last change.
 struct key_value
 {
--- a/source/core/shell/program.cpp
+++ b/source/core/shell/program.cpp
@@ -12,6 +12,7 @@
 #include <absl/strings/match.h>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -86,6 +87,11 @@
         common::duration_setting{&s.store_timeout, common::milliseconds{1}, longest_store_timeout});
 }
 
+void ignore_early_signals()
+{
+    std::signal(SIGHUP, SIG_IGN);
+}
+
 std::optional<int> start_program(int argc, char** argv, std::string_view name,
                                  std::string_view usage, const common::settings_schema& schema,
                                  const common_settings& settings)
--- a/source/core/shell/program.hpp
+++ b/source/core/shell/program.hpp
@@ -38,6 +38,10 @@
 /// Declares the settings that every daemon has.
 void add_common_settings(common::settings_schema& schema, common_settings& s);
 
+/// Ignores the signals that only a running daemon has a use for, until its loop handles them: their
+/// default action ends the process. To be called first in main.
+void ignore_early_signals();
+
 /// Parses the command line (--config, --check_config, --version, --help) and reads the settings.
 /// Returns the status to exit with, or nothing when the program is to run. Mistakes are all
 /// written to standard error, each with its file and line.
@@ -54,6 +58,7 @@
 int run_daemon(int argc, char** argv, std::string_view name, std::string_view usage,
                void (*add_settings)(common::settings_schema&, Settings&))
 {
+    ignore_early_signals();
     Settings settings;
     common::settings_schema schema;
     add_settings(schema, settings);
--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -19,13 +19,15 @@
 constexpr milliseconds longest_idle{30'000};
 /// The longest answer that is collected before it is passed on.
 constexpr std::size_t most_collected_bytes = std::size_t{16} << 20;
+/// The longest event of a stream.
+constexpr std::size_t most_event_bytes = std::size_t{256} << 10;
 
 } // namespace
 
 attempt::attempt(gateway& owner, attempt_listener& listener, plan how,
                  const io::http_request& request)
     : m_gateway{owner}, m_listener{listener}, m_plan{std::move(how)}, m_started{common::now()},
-      m_last_heard{m_started}
+      m_last_heard{m_started}, m_events{most_event_bytes}
 {
     m_gateway.service(m_plan.target.service).board.sent(m_plan.target.id, 1);
     io::call_events events{
@@ -49,6 +51,7 @@
 attempt::~attempt()
 {
     note_end(target_health::unknown);
+    take_collected();
 }
 
 void attempt::pause_reading(bool on)
@@ -77,6 +80,7 @@
 {
     m_last_heard = common::now();
     m_head = m_gateway.names().read_answer(head);
+    m_status = head.status;
     m_is_stream = m_plan.expects_stream && head.status == http_ok && !m_head.is_unrun &&
                   !m_head.is_encoded && m_head.request_id == m_plan.request_id;
     if (m_is_stream)
@@ -84,23 +88,52 @@
 }
 
 void attempt::take_data(std::string_view bytes)
+{
+    if (m_is_stream)
+        take_events(bytes);
+    else
+        take_part(bytes);
+}
+
+void attempt::take_part(std::string_view bytes)
 {
     m_last_heard = common::now();
-    if (!m_is_stream)
-    {
-        m_body += bytes;
-        if (m_body.size() > most_collected_bytes)
-            m_call.reset();
-        return;
-    }
-    m_gateway.service(m_plan.target.service).progress.note(m_last_heard);
+    m_body += bytes;
+    m_gateway.collected_bytes() += bytes.size();
+    if (m_body.size() > most_collected_bytes ||
+        m_gateway.collected_bytes() > gateway::most_collected_bytes)
+        give_up_oversized();
+}
+
+void attempt::take_events(std::string_view bytes)
+{
     const std::weak_ptr<bool> alive = m_alive;
-    m_events.feed(bytes,
-                  [&](std::string_view text)
-                  {
-                      if (!alive.expired())
-                          m_listener.event_received(*this, text);
-                  });
+    const bool is_short_enough = m_events.feed(bytes,
+                                               [&](std::string_view text)
+                                               {
+                                                   if (alive.expired())
+                                                       return;
+                                                   const auto event = io::parse_event(text);
+                                                   if (!event.is_blank())
+                                                       m_last_heard = common::now();
+                                                   m_listener.event_received(*this, text, event);
+                                               });
+    if (!alive.expired() && !is_short_enough && m_call)
+        give_up_oversized();
+}
+
+/// What was collected of the body, which no longer counts as such.
+std::string attempt::take_collected()
+{
+    m_gateway.collected_bytes() -= m_body.size();
+    return std::exchange(m_body, {});
+}
+
+/// Ends an answer that may have no end.
+void attempt::give_up_oversized()
+{
+    const auto call = std::move(m_call);
+    end(io::call_end::oversized, {m_status, {}, {}});
 }
 
 attempt_outcome attempt::outcome_of(io::call_end how, const io::http_answer& answer) const
@@ -138,7 +171,7 @@
         health = target_health::unknown;
     note_end(health);
     auto whole = answer;
-    whole.body = std::move(m_body);
+    whole.body = take_collected();
     m_listener.attempt_ended(*this, outcome, whole);
 }
 
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -26,8 +26,8 @@
 
     /// The head of a successful stream has come.
     virtual void stream_begun(attempt& it, const io::http_answer& head) = 0;
-    /// A whole event of a stream has come, with its blank line.
-    virtual void event_received(attempt& it, std::string_view text) = 0;
+    /// A whole event of a stream has come: its text without the blank line, and its fields.
+    virtual void event_received(attempt& it, std::string_view text, const io::sse_event& event) = 0;
     /// The attempt has ended; the answer counts only where the outcome is `answered`.
     virtual void attempt_ended(attempt& it, fleet::attempt_outcome outcome,
                                const io::http_answer& answer) = 0;
@@ -55,6 +55,8 @@
 
     const fleet::target& target() const { return m_plan.target; }
     timestamp started() const { return m_started; }
+    /// When its last event came, or its head before the first; bytes of an event that has no end
+    /// don't count.
     timestamp last_heard() const { return m_last_heard; }
     bool has_begun_stream() const { return m_is_stream; }
     /// True when the target may have got the request.
@@ -74,6 +76,10 @@
 private:
     void take_head(const io::http_answer& head);
     void take_data(std::string_view bytes);
+    void take_part(std::string_view bytes);
+    void take_events(std::string_view bytes);
+    std::string take_collected();
+    void give_up_oversized();
     void end(io::call_end how, const io::http_answer& answer);
     fleet::attempt_outcome outcome_of(io::call_end how, const io::http_answer& answer) const;
     void note_end(policy::target_health health);
@@ -84,6 +90,7 @@
     timestamp m_started;
     timestamp m_last_heard;
     target_answer m_head;
+    int m_status = 0;
     io::call_end m_end = io::call_end::complete;
     bool m_is_stream = false;
     bool m_is_counted = true;
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -184,11 +184,10 @@
         });
 }
 
-void exchange::event_received(attempt& it, std::string_view text)
+void exchange::event_received(attempt& it, std::string_view text, const io::sse_event& event)
 {
     if (m_ended)
         return;
-    const auto event = io::parse_event(text);
     std::int64_t n = 0;
     if (common::parse_number(event.id, n))
     {
@@ -199,22 +198,34 @@
     }
     if (!event.id.empty())
         m_last_event_id = event.id;
+    if (!event.is_blank())
+        note_event(it);
+    pass_on(it, text);
+}
+
+/// Measures what an event tells of its target.
+void exchange::note_event(const attempt& it)
+{
+    const auto now = common::now();
+    auto& state = m_gateway.service(m_service);
+    state.progress.note(now);
     if (!m_first_event)
     {
-        m_first_event = common::now();
-        m_gateway.service(m_service).is_suspect = false;
-        m_gateway.service(m_service).pace.note_first_event(
-            std::chrono::duration_cast<milliseconds>(*m_first_event - it.started()));
+        m_first_event = now;
+        state.is_suspect = false;
+        state.pace.note_first_event(std::chrono::duration_cast<milliseconds>(now - it.started()));
         m_gateway.counters().measure(
             common::concat("kqg_run_first_event_ms{service=\"", m_service, "\"}"),
-            static_cast<double>(since(it.started(), *m_first_event)));
+            static_cast<double>(since(it.started(), now)));
     }
-    const auto now = common::now();
     if (m_last_event)
-        m_gateway.service(m_service).pace.note_pause(
-            std::chrono::duration_cast<milliseconds>(now - *m_last_event));
+        state.pace.note_pause(std::chrono::duration_cast<milliseconds>(now - *m_last_event));
     m_last_event = now;
     ++m_events;
+}
+
+void exchange::pass_on(attempt& it, std::string_view text)
+{
     std::string whole{text};
     whole += "\n\n";
     m_answer->write(whole);
@@ -248,8 +259,11 @@
         hold_service(it);
     else
         m_tried.insert(it.target().id);
+    const auto if_unknown = it.connection_end() == io::call_end::oversized
+                                ? result_code::answer_too_long
+                                : result_code::outcome_unknown;
     take_back(it);
-    not_answered(outcome);
+    not_answered(outcome, if_unknown);
 }
 
 /// A member of the service's one group has failed, so that no target can serve for now.
@@ -282,7 +296,7 @@
     relay(answer);
 }
 
-void exchange::not_answered(attempt_outcome outcome)
+void exchange::not_answered(attempt_outcome outcome, result_code if_unknown)
 {
     if (has_target_left(outcome) && may_try_again(outcome))
         return wait_for_place();
@@ -292,7 +306,7 @@
         return refuse(outcome == attempt_outcome::not_sent ? result_code::target_unreachable
                                                            : result_code::no_target,
                       fleet::name_of(outcome).data());
-    fail(result_code::outcome_unknown, fleet::name_of(outcome).data());
+    fail(if_unknown, fleet::name_of(outcome).data());
 }
 
 /// True when another attempt may end otherwise.
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -40,15 +40,17 @@
 
 private:
     void stream_begun(attempt& it, const io::http_answer& head) override;
-    void event_received(attempt& it, std::string_view text) override;
+    void event_received(attempt& it, std::string_view text, const io::sse_event& event) override;
     void attempt_ended(attempt& it, fleet::attempt_outcome outcome,
                        const io::http_answer& answer) override;
 
     std::optional<common::failure> check_request();
     void wait_for_place();
     void take_back(attempt& it);
+    void note_event(const attempt& it);
+    void pass_on(attempt& it, std::string_view text);
     void answered(attempt& it, const io::http_answer& answer);
-    void not_answered(fleet::attempt_outcome outcome);
+    void not_answered(fleet::attempt_outcome outcome, common::result_code if_unknown);
     bool has_target_left(fleet::attempt_outcome last);
     bool may_try_again(fleet::attempt_outcome last);
     void hold_service(const attempt& it);
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -98,6 +98,11 @@
     service_state& service(const std::string& name) { return m_services[name]; }
     /// True once new calls are refused, so that the open ones can end before the process must.
     bool refuses_calls() const { return m_refuses_calls; }
+    /// What all answers that are being collected may take together: a fifth of the memory of the
+    /// smallest entry host (240 MB).
+    static constexpr std::size_t most_collected_bytes = std::size_t{48} << 20;
+    /// Bytes of answers that are being collected.
+    std::size_t& collected_bytes() { return m_collected_bytes; }
     /// A random number from 0 to below 1.
     double draw() { return std::uniform_real_distribution<double>{0, 1}(m_random); }
     /// Starts the calls of a service that have a place now.
@@ -134,6 +139,7 @@
     std::map<std::string, service_state> m_services;
     std::map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
     std::uint64_t m_next_exchange = 1;
+    std::size_t m_collected_bytes = 0;
     io::http_server m_server;
     io::http_server m_admin;
     std::unique_ptr<io::http_server> m_metrics_server;
--- a/source/rank_agent/remote_rank.cpp
+++ b/source/rank_agent/remote_rank.cpp
@@ -16,7 +16,9 @@
 
 io::call_options how()
 {
-    return {.connect_timeout = answer_timeout, .silence_timeout = answer_timeout};
+    return {.connect_timeout = answer_timeout,
+            .silence_timeout = answer_timeout,
+            .whole_timeout = answer_timeout};
 }
 
 } // namespace
--- a/source/router/exchange.cpp
+++ b/source/router/exchange.cpp
@@ -30,6 +30,8 @@
         return {result_code::target_unreachable, ""};
     if (how == io::call_end::silent)
         return {result_code::target_timeout, "the agent fell silent"};
+    if (how == io::call_end::oversized)
+        return {result_code::answer_too_long, ""};
     return {result_code::stream_cut, "the connection to the agent was lost"};
 }
 
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -278,7 +278,8 @@
     {
         if (m_is_stopped[i] || !m_site.gateway(i).has_ended())
             continue;
-        broke(common::concat("gateway ", i, " ended by itself"));
+        broke(common::concat("gateway ", i, " ended by itself with status ",
+                             m_site.gateway(i).status()));
         m_site.restart_gateway(i);
     }
 }
--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -47,6 +47,13 @@
         }
     }
 
+    std::size_t write_some(std::string_view bytes)
+    {
+        const auto n = ::send(bufferevent_getfd(m_bev), bytes.data(), bytes.size(),
+                              MSG_NOSIGNAL | MSG_DONTWAIT);
+        return n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+
     void close()
     {
         m_is_open = false;
@@ -123,6 +130,12 @@
         it->write(bytes);
 }
 
+std::size_t scripted_target::reply::write_some(std::string_view bytes) const
+{
+    const auto it = connection.lock();
+    return it ? it->write_some(bytes) : 0;
+}
+
 void scripted_target::reply::close() const
 {
     if (const auto it = connection.lock())
--- a/tests/stand_ins/scripted_target.hpp
+++ b/tests/stand_ins/scripted_target.hpp
@@ -28,6 +28,8 @@
         std::weak_ptr<target_connection> connection;
 
         void write(std::string_view bytes) const;
+        /// Writes what fits without waiting; returns how much did.
+        std::size_t write_some(std::string_view bytes) const;
         /// Ends the connection in order.
         void close() const;
         /// Ends it with a reset.
