Let the control of a group fit its hosts' links, and ask the store only in silence

Cause: at 129 ranks the counts alone (4.4 kB each 7 ms, 5 Mbit/s) filled the controller's link of 6 Mbit/s, so that its lease ran out before a map was told; every agent read the lease key twice a second, and all campaigned at once when it was gone. Change: ranks stand in blocks whose relays sum the choices and pass the controller's beacons on; maps go out as changes of the map in force, with a checksum; what did not fit the first burst is passed on too; messages are lists; the budget comes from the link in the settings. Agents know the controller by its beacons, and ask the store only in its silence, spread over a second. Ruled out: a smaller constant for the pacer (tried before: maps came too late).

--- a/source/core/experts/agent_message.cpp
+++ b/source/core/experts/agent_message.cpp
@@ -1,6 +1,7 @@
 #include "experts/agent_message.hpp"
 
 #include "common/log.hpp"
+#include "experts/map_bytes.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -15,47 +16,72 @@
 namespace
 {
 
-constexpr std::string_view status_kind = "status";
-constexpr std::string_view choices_kind = "choices";
-constexpr std::string_view directive_kind = "directive";
+/// The place of each kind in agent_message. A message is a list: the token, the kind, the fields.
+enum class message_kind : std::uint8_t
+{
+    status,
+    held,
+    choices,
+    beacon,
+    directive
+};
+
+/// Reads the fields of a list one after the other.
+class field_reader
+{
+public:
+    explicit field_reader(const json& list) : m_list{list} {}
+
+    template <class T>
+    T next()
+    {
+        return next_field().template get<T>();
+    }
+    const json& next_field() { return m_list.at(m_next++); }
+
+private:
+    const json& m_list;
+    std::size_t m_next = 0;
+};
+
+/// Fractions travel as whole thousandths.
+constexpr double per_thousand = 1000;
 
 json to_json(const rank_report& r)
 {
-    json out = {{"group", r.group},     {"epoch", r.epoch},       {"rank", r.rank},
-                {"size", r.size},       {"open", r.is_open},      {"pass", r.pass},
-                {"version", r.version}, {"prepared", r.prepared}, {"born", r.born},
-                {"pace", r.pace}};
+    json armed = nullptr;
     if (r.armed)
-        out["armed"] = {r.armed->version, r.armed->pass};
+        armed = {r.armed->version, r.armed->pass};
+    json held = nullptr;
     if (r.held)
-        out["held"] = *r.held;
-    return out;
+        held = *r.held;
+    return {
+        r.group, r.epoch,   r.rank,     r.size, r.is_open,
+        r.pass,  r.version, r.prepared, r.born, static_cast<std::int64_t>(r.pace * per_thousand),
+        armed,   held};
 }
 
-rank_report report_from(const json& it)
+rank_report report_from(const json& list)
 {
+    field_reader it{list};
     rank_report out;
-    out.group = it.at("group");
-    out.epoch = it.at("epoch");
-    out.rank = it.at("rank");
-    out.size = it.at("size");
-    out.is_open = it.at("open");
-    out.pass = it.at("pass");
-    out.version = it.at("version");
-    out.prepared = it.at("prepared");
-    out.born = it.at("born");
-    out.pace = it.at("pace");
-    if (it.contains("armed"))
-        out.armed = armed_switch{it.at("armed").at(0), it.at("armed").at(1)};
-    if (it.contains("held"))
-        out.held = it.at("held").get<pass_number>();
+    out.group = it.next<std::string>();
+    out.epoch = it.next<std::int64_t>();
+    out.rank = it.next<rank_number>();
+    out.size = it.next<int>();
+    out.is_open = it.next<bool>();
+    out.pass = it.next<pass_number>();
+    out.version = it.next<map_version>();
+    out.prepared = it.next<map_version>();
+    out.born = it.next<std::int64_t>();
+    out.pace = static_cast<double>(it.next<std::int64_t>()) / per_thousand;
+    if (const auto& armed = it.next_field(); !armed.is_null())
+        out.armed = armed_switch{armed.at(0), armed.at(1)};
+    if (const auto& held = it.next_field(); !held.is_null())
+        out.held = held.get<pass_number>();
     return out;
 }
 
-/// A byte carries numbers up to this.
-constexpr int largest_byte = 255;
-constexpr unsigned bits_per_byte = 8;
-
 /// Counts travel as one byte each, in units that the largest of them fits.
 std::int64_t unit_of(const std::vector<std::vector<std::int64_t>>& counts)
 {
@@ -74,7 +100,7 @@
         json::binary_t::container_type bytes(set.size());
         std::ranges::transform(set, bytes.begin(),
                                [unit](std::int64_t n)
-                               { return static_cast<std::uint8_t>(n / unit); });
+                               { return static_cast<std::uint8_t>((n + unit / 2) / unit); });
         out.push_back(json::binary(std::move(bytes)));
     }
     return out;
@@ -93,164 +119,181 @@
     return out;
 }
 
-/// A map travels as one byte an expert where that is enough, else as two, the low one first.
-json to_json(const expert_map& map)
+struct to_fields
 {
-    int largest = 0;
-    for (const auto& set : map.sets)
-        for (const auto& rank : set)
-            largest = std::accumulate(rank.begin(), rank.end(), largest,
-                                      [](int a, int b) { return std::max(a, b); });
-    const bool is_wide = largest > largest_byte;
-    json sets = json::array();
-    for (const auto& set : map.sets)
+    json operator()(const status_message& m) const
     {
-        json ranks = json::array();
-        for (const auto& rank : set)
-        {
-            json::binary_t::container_type bytes;
-            bytes.reserve(rank.size() * 2);
-            for (const int e : rank)
-            {
-                bytes.push_back(static_cast<std::uint8_t>(e & largest_byte));
-                if (is_wide)
-                    bytes.push_back(static_cast<std::uint8_t>(e >> bits_per_byte));
-            }
-            ranks.push_back(json::binary(std::move(bytes)));
-        }
-        sets.push_back(std::move(ranks));
+        const auto& s = m.status;
+        return {m.address,          m.target,     to_json(s.report), s.agent,    s.directive_token,
+                s.directive_number, s.is_settled, s.was_fenced,      m.known_map};
     }
-    return {{"wide", is_wide}, {"sets", std::move(sets)}};
-}
 
-std::vector<int> experts_from(const json::binary_t& bytes, bool is_wide)
-{
-    std::vector<int> out;
-    out.reserve(bytes.size());
-    if (!is_wide)
+    json operator()(const held_message& m) const
     {
-        out.assign(bytes.begin(), bytes.end());
-        return out;
+        return {m.group, m.epoch, m.rank, m.version, lists_to_json(m.held)};
     }
-    for (std::size_t i = 0; i + 1 < bytes.size(); i += 2)
-        out.push_back(bytes[i] | (bytes[i + 1] << bits_per_byte));
-    return out;
-}
 
-expert_map map_from(const json& it)
-{
-    expert_map out;
-    const bool is_wide = it.at("wide");
-    for (const auto& set : it.at("sets"))
+    json operator()(const choices_message& m) const
     {
-        auto& ranks = out.sets.emplace_back();
-        for (const auto& rank : set)
-            ranks.push_back(experts_from(rank.get_binary(), is_wide));
+        const auto unit = unit_of(m.choices);
+        return {m.group, m.epoch, unit, to_json(m.choices, unit)};
     }
-    return out;
-}
 
-struct to_json_body
-{
-    json operator()(const status_message& m) const
+    json operator()(const beacon_message& m) const
     {
-        return {{"kind", status_kind},
-                {"address", m.address},
-                {"target", m.target},
-                {"report", to_json(m.status.report)},
-                {"agent", m.status.agent},
-                {"directive_token", m.status.directive_token},
-                {"directive_number", m.status.directive_number},
-                {"settled", m.status.is_settled},
-                {"fenced", m.status.was_fenced}};
-    }
-
-    json operator()(const choices_message& m) const
-    {
-        const auto unit = unit_of(m.choices);
-        return {{"kind", choices_kind}, {"group", m.group},
-                {"epoch", m.epoch},     {"rank", m.rank},
-                {"version", m.version}, {"unit", unit},
-                {"held", m.held},       {"choices", to_json(m.choices, unit)}};
+        return {m.group,
+                m.token,
+                m.leader,
+                m.tree.size,
+                m.tree.block_size,
+                m.tree.relays,
+                addresses_to_json(m.addresses),
+                m.epoch,
+                m.known_map,
+                m.is_for_block};
     }
 
     json operator()(const directive_message& m) const
     {
         const auto& d = m.what;
-        json out = {
-            {"kind", directive_kind}, {"fence", d.token}, {"number", d.number},
-            {"agent", d.agent},       {"epoch", d.epoch}, {"phase", static_cast<int>(d.phase)},
-            {"version", d.version},   {"pass", d.pass},   {"holder", d.holder}};
-        if (d.map)
-            out["map"] = to_json(*d.map);
+        json others = json::array();
         for (const auto& it : m.pass_on)
-            out["pass_on"].push_back({it.address, it.agent});
-        return out;
+            others.push_back({it.address, it.agent});
+        return {d.token,
+                d.number,
+                d.agent,
+                d.epoch,
+                static_cast<int>(d.phase),
+                d.version,
+                d.pass,
+                d.holder,
+                d.map ? map_to_json(*d.map) : json{},
+                m.changes ? changes_to_json(*m.changes) : json{},
+                std::move(others)};
     }
 };
 
-status_message status_from(const json& it)
+status_message status_from(field_reader it)
 {
-    return {it.at("address"),
-            it.at("target"),
-            {report_from(it.at("report")), it.at("agent"), it.at("directive_token"),
-             it.at("directive_number"), it.at("settled"), it.at("fenced")}};
+    status_message out;
+    out.address = it.next<std::string>();
+    out.target = it.next<std::string>();
+    out.status.report = report_from(it.next_field());
+    out.status.agent = it.next<std::int64_t>();
+    out.status.directive_token = it.next<fencing_token>();
+    out.status.directive_number = it.next<std::int64_t>();
+    out.status.is_settled = it.next<bool>();
+    out.status.was_fenced = it.next<bool>();
+    out.known_map = it.next<map_version>();
+    return out;
+}
+
+held_message held_from(field_reader it)
+{
+    held_message out;
+    out.group = it.next<std::string>();
+    out.epoch = it.next<std::int64_t>();
+    out.rank = it.next<rank_number>();
+    out.version = it.next<map_version>();
+    out.held = lists_from(it.next_field());
+    return out;
 }
 
-choices_message choices_from(const json& it)
+choices_message choices_from(field_reader it)
 {
     choices_message out;
-    out.group = it.at("group");
-    out.epoch = it.at("epoch");
-    out.rank = it.at("rank");
-    out.version = it.at("version");
-    out.choices = counts_from(it.at("choices"), it.at("unit"));
-    out.held = it.at("held").get<std::vector<std::vector<int>>>();
+    out.group = it.next<std::string>();
+    out.epoch = it.next<std::int64_t>();
+    const auto unit = it.next<std::int64_t>();
+    out.choices = counts_from(it.next_field(), unit);
     return out;
 }
 
-std::optional<agent_message> directive_from(const json& it)
+std::optional<agent_message> beacon_from(field_reader it)
+{
+    beacon_message out;
+    out.group = it.next<std::string>();
+    out.token = it.next<fencing_token>();
+    out.leader = it.next<std::string>();
+    out.tree.size = it.next<int>();
+    out.tree.block_size = it.next<int>();
+    out.tree.relays = it.next<std::vector<rank_number>>();
+    out.addresses = addresses_from(it.next_field());
+    out.epoch = it.next<std::int64_t>();
+    out.known_map = it.next<map_version>();
+    out.is_for_block = it.next<bool>();
+    if (out.tree.size < 0 || out.tree.block_size < 1)
+        return std::nullopt;
+    return out;
+}
+
+std::optional<agent_message> directive_from(field_reader it)
 {
     directive d;
-    d.token = it.at("fence");
-    d.number = it.at("number");
-    d.agent = it.at("agent");
-    d.epoch = it.at("epoch");
-    const int phase = it.at("phase");
+    d.token = it.next<fencing_token>();
+    d.number = it.next<std::int64_t>();
+    d.agent = it.next<std::int64_t>();
+    d.epoch = it.next<std::int64_t>();
+    const auto phase = it.next<int>();
     if (phase < 0 || phase > static_cast<int>(switch_phase::release))
         return std::nullopt;
     d.phase = static_cast<switch_phase>(phase);
-    d.version = it.at("version");
-    d.pass = it.at("pass");
-    d.holder = it.at("holder");
-    if (it.contains("map"))
-        d.map = std::make_shared<const expert_map>(map_from(it.at("map")));
+    d.version = it.next<map_version>();
+    d.pass = it.next<pass_number>();
+    d.holder = it.next<rank_number>();
+    if (const auto& map = it.next_field(); !map.is_null())
+        d.map = std::make_shared<const expert_map>(map_from(map));
     directive_message out{std::move(d)};
-    for (const auto& other : it.value("pass_on", json::array()))
+    if (const auto& changes = it.next_field(); !changes.is_null())
+        out.changes = changes_from(changes);
+    for (const auto& other : it.next_field())
         out.pass_on.push_back({other.at(0), other.at(1)});
     return out;
 }
 
+std::optional<agent_message> read_fields(int kind, field_reader it)
+{
+    switch (static_cast<message_kind>(kind))
+    {
+    case message_kind::status:
+        return status_from(it);
+    case message_kind::held:
+        return held_from(it);
+    case message_kind::choices:
+        return choices_from(it);
+    case message_kind::beacon:
+        return beacon_from(it);
+    case message_kind::directive:
+        return directive_from(it);
+    }
+    return std::nullopt;
+}
+
+/// Names and numbers of a message.
+constexpr std::size_t fixed_bytes = 110;
+
 } // namespace
 
 std::size_t message_bytes(const directive& d)
 {
-    /// Names and numbers of a directive, and of each list of experts.
-    constexpr std::size_t fixed_bytes = 200;
-    constexpr std::size_t list_bytes = 1;
-    std::size_t out = fixed_bytes;
-    if (!d.map)
-        return out;
-    for (const auto& set : d.map->sets)
-        for (const auto& rank : set)
-            out += rank.size() + list_bytes;
-    return out;
+    return fixed_bytes + (d.map ? map_bytes(*d.map) : 0);
+}
+
+std::size_t message_bytes(const map_changes& it)
+{
+    return fixed_bytes + changes_bytes(it);
+}
+
+std::size_t choices_bytes(std::size_t sets, std::size_t experts)
+{
+    constexpr std::size_t list_bytes = 3;
+    return fixed_bytes + sets * (experts + list_bytes);
 }
 
 std::string to_bytes(const agent_message& m, std::string_view token)
 {
-    auto body = std::visit(to_json_body{}, m);
-    body["token"] = token;
+    json body = {token, m.index()};
+    body.push_back(std::visit(to_fields{}, m));
     std::string out;
     json::to_cbor(body, out);
     return out;
@@ -258,18 +301,12 @@
 
 std::optional<agent_message> from_bytes(std::string_view bytes, std::string_view token)
 {
-    const auto it = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
     try
     {
-        if (it.is_discarded() || it.at("token") != token)
+        if (body.is_discarded() || body.at(0) != token)
             return std::nullopt;
-        const std::string kind = it.at("kind");
-        if (kind == status_kind)
-            return status_from(it);
-        if (kind == choices_kind)
-            return choices_from(it);
-        if (kind == directive_kind)
-            return directive_from(it);
+        return read_fields(body.at(1), field_reader{body.at(2)});
     }
     catch (const json::exception& e)
     {
--- a/source/core/experts/directive_pacer.cpp
+++ b/source/core/experts/directive_pacer.cpp
@@ -1,6 +1,8 @@
 #include "experts/directive_pacer.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace kumquatgap::experts
 {
@@ -12,12 +14,16 @@
 
 } // namespace
 
+bool directive_pacer::was_told(rank_number rank, std::int64_t directive_number) const
+{
+    const auto it = m_told.find(rank);
+    return it != m_told.end() && it->second.directive_number == directive_number;
+}
+
 bool directive_pacer::is_due(rank_number rank, std::int64_t directive_number, milliseconds repeat,
                              timestamp now) const
 {
-    const auto it = m_told.find(rank);
-    return it == m_told.end() || it->second.directive_number != directive_number ||
-           now - it->second.at >= repeat;
+    return !was_told(rank, directive_number) || now - m_told.at(rank).at >= repeat;
 }
 
 std::vector<telling> directive_pacer::take_due(const std::vector<rank_number>& unconfirmed,
@@ -33,20 +39,23 @@
     const milliseconds all_time{
         static_cast<std::int64_t>(all_bytes / m_options.bytes_per_s * ms_per_s)};
     const auto repeat = std::max(m_options.shortest_repeat, all_time);
-    const bool is_news = std::ranges::none_of(
-        unconfirmed,
-        [&](rank_number it)
-        {
-            const auto told = m_told.find(it);
-            return told != m_told.end() && told->second.directive_number == directive_number;
-        });
-    const auto fan = is_news && all_bytes > m_options.burst_bytes ? m_options.relay_fan : 0;
+    const auto untold = static_cast<std::size_t>(std::ranges::count_if(
+        unconfirmed, [&](rank_number it) { return !was_told(it, directive_number); }));
+    // As many agents are told as each of them passes on to, so that no link carries more than twice
+    // the root of the group.
+    if (std::exchange(m_directive_number, directive_number) != directive_number)
+        m_fan = std::max(m_options.relay_fan, static_cast<std::size_t>(std::sqrt(untold)));
+    const bool needs_relays = size * static_cast<double>(untold) > m_options.burst_bytes;
+    const auto fan = needs_relays ? m_fan : 0;
     std::vector<telling> out;
+    /// Those that were told before get it from nobody else.
+    bool is_relay = false;
     for (const auto rank : unconfirmed)
     {
         if (!is_due(rank, directive_number, repeat, now))
             continue;
-        if (!out.empty() && out.back().passed_on.size() < fan)
+        const bool is_new = !was_told(rank, directive_number);
+        if (is_new && is_relay && out.back().passed_on.size() < fan)
             out.back().passed_on.push_back(rank);
         else if (m_allowance <= 0)
             break;
@@ -55,6 +64,7 @@
             // A message that is larger than what is left goes out and is paid for afterwards.
             m_allowance -= size;
             out.push_back({rank, {}});
+            is_relay = is_new && fan > 0;
         }
         m_told.insert_or_assign(rank, last_telling{directive_number, now});
     }
--- a/source/core/experts/directive_pacer.hpp
+++ b/source/core/experts/directive_pacer.hpp
@@ -19,7 +19,7 @@
     /// A rank that has not confirmed a directive is told again after this, or after the time
     /// that telling all ranks takes, if that is longer.
     milliseconds shortest_repeat{50};
-    /// Ranks that one agent passes a directive on to.
+    /// Ranks that one agent passes a directive on to, at least.
     std::size_t relay_fan = 7;
 };
 
@@ -52,11 +52,15 @@
         timestamp at;
     };
 
+    bool was_told(rank_number rank, std::int64_t directive_number) const;
     bool is_due(rank_number rank, std::int64_t directive_number, milliseconds repeat,
                 timestamp now) const;
 
     pacer_options m_options;
     std::map<rank_number, last_telling> m_told;
+    std::int64_t m_directive_number = 0;
+    /// Ranks that one agent passes the current directive on to.
+    std::size_t m_fan = 0;
     double m_allowance = 0;
     timestamp m_filled_at;
 };
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <numeric>
 
@@ -11,6 +12,12 @@
 namespace
 {
 
+/// How often agents hear from the controller when there is nothing to do.
+constexpr milliseconds beacon_period{500};
+/// A rank whose status has not come for this long passes nothing on; at rest one comes every 500
+/// ms.
+constexpr milliseconds relay_silence{1200};
+
 /// Logs give fractions in thousandths.
 std::int64_t thousandths(double n)
 {
@@ -22,9 +29,85 @@
 
 group_controller::group_controller(std::string group, experts::fencing_token token,
                                    controller_options options)
-    : m_group{std::move(group)}, m_options{options}, m_switch{token, {}}, m_popularity{
-                                                                              options.half_life}
+    : m_group{std::move(group)}, m_options{std::move(options)}, m_switch{token, {}},
+      m_pacer{{.bytes_per_s = m_options.link.directives()}}, m_popularity{m_options.half_life}
+{
+}
+
+std::string group_controller::address_of(experts::rank_number rank) const
+{
+    if (const auto it = m_addresses.find(rank); it != m_addresses.end())
+        return it->second;
+    const auto i = static_cast<std::size_t>(rank);
+    return i < m_earlier_addresses.size() ? m_earlier_addresses[i] : std::string{};
+}
+
+experts::relay_tree group_controller::tree(timestamp now) const
+{
+    const auto size = std::max(m_addresses.empty() ? 0 : m_addresses.rbegin()->first + 1,
+                               static_cast<int>(m_earlier_addresses.size()));
+    std::vector<bool> is_live(static_cast<std::size_t>(size), false);
+    for (const auto& [rank, address] : m_addresses)
+        is_live[static_cast<std::size_t>(rank)] = true;
+    for (const auto rank : m_switch.silent_ranks(now, relay_silence))
+        is_live[static_cast<std::size_t>(rank)] = false;
+    const auto bytes = m_engine
+                           ? experts::choices_bytes(static_cast<std::size_t>(m_engine->expert_sets),
+                                                    static_cast<std::size_t>(m_engine->experts))
+                           : 0;
+    return experts::divide(is_live, bytes, m_options.link);
+}
+
+std::vector<group_controller::told_beacon> group_controller::beacons(timestamp now)
+{
+    if (now - m_beacon_at < beacon_period)
+        return {};
+    m_beacon_at = now;
+    const auto divided = tree(now);
+    experts::beacon_message m{.group = m_group,
+                              .token = token(),
+                              .leader = m_options.address,
+                              .tree = divided,
+                              .addresses = {},
+                              .epoch = m_epoch,
+                              .known_map = current_map() ? m_switch.version()
+                                                         : experts::map_archive::unknown};
+    std::vector<std::string> addresses;
+    for (experts::rank_number rank = 0; rank < divided.size; ++rank)
+        addresses.push_back(address_of(rank));
+    std::vector<told_beacon> out;
+    for (std::size_t block = 0; block < divided.relays.size(); ++block)
+    {
+        const auto relay = divided.relays[block];
+        if (relay != experts::relay_tree::no_rank)
+        {
+            auto whole = m;
+            whole.addresses = addresses;
+            whole.is_for_block = divided.block_size > 1;
+            out.push_back({address_of(relay), std::move(whole)});
+            continue;
+        }
+        for (const auto rank : divided.ranks_of(block))
+            out.push_back({address_of(rank), m});
+    }
+    std::erase_if(out, [](const told_beacon& it) { return it.address.empty(); });
+    return out;
+}
+
+bool group_controller::knows_base(experts::rank_number rank) const
+{
+    const auto it = m_known_maps.find(rank);
+    return m_changes && it != m_known_maps.end() && it->second == m_changes->base;
+}
+
+/// The size of one message of the current directive for some ranks.
+std::size_t group_controller::directive_bytes(const std::vector<experts::rank_number>& ranks) const
 {
+    const bool all_know =
+        std::ranges::all_of(ranks, [this](experts::rank_number it) { return knows_base(it); });
+    if (current().map && m_changes && all_know)
+        return experts::message_bytes(*m_changes);
+    return experts::message_bytes(current());
 }
 
 std::string group_controller::target_of(experts::rank_number rank) const
@@ -35,8 +118,9 @@
 
 std::vector<group_controller::told_agent> group_controller::agents_to_tell(timestamp now)
 {
-    const auto due = m_pacer.take_due(m_switch.unconfirmed_ranks(), current().number,
-                                      experts::message_bytes(current()), now);
+    const auto unconfirmed = m_switch.unconfirmed_ranks();
+    const auto due =
+        m_pacer.take_due(unconfirmed, current().number, directive_bytes(unconfirmed), now);
     std::vector<told_agent> out;
     out.reserve(due.size());
     for (const auto& it : due)
@@ -47,6 +131,14 @@
             m.what.map = current().map;
         for (const auto other : it.passed_on)
             m.pass_on.push_back({m_addresses[other], directive_for(other).agent});
+        const bool all_know = knows_base(it.rank) &&
+                              std::ranges::all_of(it.passed_on, [this](experts::rank_number rank)
+                                                  { return knows_base(rank); });
+        if (m.what.map && all_know)
+        {
+            m.changes = m_changes;
+            m.what.map.reset();
+        }
         out.push_back({m_addresses[it.rank], std::move(m)});
     }
     return out;
@@ -67,6 +159,8 @@
         return;
     m_addresses.insert_or_assign(m.status.report.rank, m.address);
     m_targets.insert_or_assign(m.status.report.rank, m.target);
+    m_size = static_cast<std::size_t>(std::max(0, m.status.report.size));
+    m_known_maps.insert_or_assign(m.status.report.rank, m.known_map);
     take(m.status, now);
 }
 
@@ -80,7 +174,8 @@
     m_epoch = m_switch.epoch();
     m_popularity.clear();
     m_held.clear();
-    m_proposed.reset();
+    m_known_maps.clear();
+    m_changes.reset();
     common::log(common::log_level::info, "group_epoch", {{"epoch", m_epoch}});
 }
 
@@ -89,27 +184,34 @@
     if (m.group != m_group || m.epoch != m_epoch)
         return;
     m_popularity.add(m.choices, now);
-    m_held.insert_or_assign(m.rank, m);
+}
+
+void group_controller::take(const experts::held_message& m)
+{
+    if (m.group == m_group && m.epoch == m_epoch)
+        m_held.insert_or_assign(m.rank, m);
 }
 
 /// The map that all ranks say they have; none while any is unknown or has another version.
-std::optional<experts::expert_map> group_controller::current_map() const
+std::shared_ptr<const experts::expert_map> group_controller::current_map()
 {
     const auto version = m_switch.version();
-    if (m_proposed && version == m_proposed_version)
-        return *m_proposed;
+    if (const auto known = m_maps.find(m_epoch, version))
+        return known;
     experts::expert_map out;
     for (const auto& [rank, it] : m_held)
     {
         if (it.version != version)
-            return std::nullopt;
+            return nullptr;
         out.sets.resize(it.held.size());
         for (std::size_t s = 0; s < it.held.size(); ++s)
             out.sets[s].push_back(it.held[s]);
     }
-    if (m_held.empty() || m_held.size() != m_addresses.size())
-        return std::nullopt;
-    return out;
+    // Part of the ranks would give a map without the experts of the others.
+    if (m_held.empty() || m_held.size() != m_size)
+        return nullptr;
+    m_maps.put(m_epoch, version, std::make_shared<const experts::expert_map>(std::move(out)));
+    return m_maps.find(m_epoch, version);
 }
 
 void group_controller::plan(timestamp now)
@@ -136,19 +238,22 @@
     auto to = experts::improve(*from, loads, limits, paces);
     const auto before = experts::skew(*from, loads, paces);
     const auto after = experts::skew(to, loads, paces);
+    m_skew_thousandths = thousandths(before);
     if (before - after < m_options.least_gain)
         return;
     const auto map = std::make_shared<const experts::expert_map>(std::move(to));
     if (!m_switch.propose(map, now))
         return;
-    m_proposed = map;
-    m_proposed_version = current().version;
+    m_changes = experts::difference(*from, m_switch.version(), *map);
+    m_maps.put(m_epoch, current().version, map);
     common::log(common::log_level::info, "map_planned",
                 {{"version", current().version},
                  {"epoch", m_epoch},
                  {"skew_before_thousandths", thousandths(before)},
                  {"skew_after_thousandths", thousandths(after)},
-                 {"choices", std::llround(m_popularity.total())}});
+                 {"choices", std::llround(m_popularity.total())},
+                 {"rows_changed", static_cast<std::int64_t>(m_changes->rows.size())},
+                 {"plan_ms", (common::now() - now).count()}});
 }
 
 void group_controller::log_phase(timestamp now)
@@ -156,15 +261,17 @@
     const auto& d = current();
     if (d.phase == m_logged_phase)
         return;
-    common::log(common::log_level::info, "switch_phase",
-                {{"phase", experts::name_of(d.phase)},
-                 {"version", d.version},
-                 {"pass", d.pass},
-                 {"holder", d.holder},
-                 {"token", d.token},
-                 {"epoch", d.epoch},
-                 {"ranks", static_cast<std::int64_t>(m_switch.known_ranks(now))},
-                 {"last_phase_ms", (now - m_phase_began).count()}});
+    common::log(
+        common::log_level::info, "switch_phase",
+        {{"group", m_group},
+         {"phase", experts::name_of(d.phase)},
+         {"version", d.version},
+         {"pass", d.pass},
+         {"holder", d.holder},
+         {"token", d.token},
+         {"epoch", d.epoch},
+         {"ranks", static_cast<std::int64_t>(m_switch.known_ranks(now))},
+         {"last_phase_ms", m_phase_began == timestamp{} ? 0 : (now - m_phase_began).count()}});
     m_logged_phase = d.phase;
     m_phase_began = now;
 }
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -4,6 +4,7 @@
 #include "experts/directive_pacer.hpp"
 #include "experts/map_planner.hpp"
 #include "experts/popularity.hpp"
+#include "experts/relay_tree.hpp"
 #include "experts/switch_controller.hpp"
 #include "fleet/configuration.hpp"
 
@@ -32,6 +33,10 @@
     double least_gain = 0.12;
     /// Choices by expert, on average, that must be known before a plan is made.
     double least_choices_per_expert = 20;
+    /// What the host's link carries.
+    experts::link_budget link;
+    /// The control address of the controller's own agent.
+    std::string address;
 };
 
 /// The controller of one group while its agent holds the lease: adds up what the ranks chose,
@@ -45,7 +50,10 @@
     void set_engine(const fleet::engine_profile& it) { m_engine = it; }
     bool has_engine() const { return m_engine.has_value(); }
     void take(const experts::status_message& m, timestamp now);
+    void take(const experts::held_message& m);
     void take(const experts::choices_message& m, timestamp now);
+    /// Agents of which nothing was heard yet, as an earlier controller named them.
+    void set_earlier_addresses(std::vector<std::string> it) { m_earlier_addresses = std::move(it); }
     /// Moves the switch on, and plans a new one when that pays.
     void tick(timestamp now);
 
@@ -70,6 +78,17 @@
     };
     /// The agents that are to be told now; those that confirm nothing are told again.
     std::vector<told_agent> agents_to_tell(timestamp now);
+    /// A beacon and where it goes.
+    struct told_beacon
+    {
+        std::string address;
+        experts::beacon_message what;
+    };
+    /// The beacons that are due now: one for each relay, which passes it on to its block, and one
+    /// for each rank of a block without a relay.
+    std::vector<told_beacon> beacons(timestamp now);
+    /// How uneven the map in force was at the last plan, in thousandths.
+    std::int64_t skew_thousandths() const { return m_skew_thousandths; }
     /// Where a rank itself is; empty while that is not known.
     std::string target_of(experts::rank_number rank) const;
     /// Ranks whose agents are silent while the group may be held.
@@ -78,22 +97,34 @@
     void take(const experts::rank_status& s, timestamp now);
 
 private:
-    std::optional<experts::expert_map> current_map() const;
+    std::shared_ptr<const experts::expert_map> current_map();
+    std::string address_of(experts::rank_number rank) const;
+    bool knows_base(experts::rank_number rank) const;
+    std::size_t directive_bytes(const std::vector<experts::rank_number>& ranks) const;
+    experts::relay_tree tree(timestamp now) const;
     void plan(timestamp now);
     void log_phase(timestamp now);
 
     std::string m_group;
     controller_options m_options;
     experts::switch_controller m_switch;
-    experts::directive_pacer m_pacer{experts::pacer_options{}};
+    experts::directive_pacer m_pacer;
     experts::popularity m_popularity;
     std::optional<fleet::engine_profile> m_engine;
     std::map<experts::rank_number, std::string> m_addresses;
     std::map<experts::rank_number, std::string> m_targets;
-    std::map<experts::rank_number, experts::choices_message> m_held;
-    /// The map that was proposed last, and its version.
-    std::shared_ptr<const experts::expert_map> m_proposed;
-    experts::map_version m_proposed_version = 0;
+    /// Ranks of the group.
+    std::size_t m_size = 0;
+    std::vector<std::string> m_earlier_addresses;
+    std::map<experts::rank_number, experts::held_message> m_held;
+    /// The versions that agents know whole.
+    std::map<experts::rank_number, experts::map_version> m_known_maps;
+    /// Those that were proposed, and those that the ranks told piece by piece.
+    experts::map_archive m_maps;
+    /// How the map that was proposed last differs from the one in force.
+    std::optional<experts::map_changes> m_changes;
+    timestamp m_beacon_at;
+    std::int64_t m_skew_thousandths = 0;
     timestamp m_planned_at;
     timestamp m_phase_began;
     experts::switch_phase m_logged_phase = experts::switch_phase::rest;
--- a/source/rank_agent/leadership.cpp
+++ b/source/rank_agent/leadership.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds lease_margin{600};
 constexpr milliseconds step_period{500};
 /// The first step is put off by up to this, so that the group's agents do not all campaign at once.
-constexpr std::uint64_t first_step_spread_ms = 450;
+constexpr double first_step_spread_ms = 450;
 /// The boot clock runs on while a machine sleeps and the steady clock does not.
 constexpr std::int64_t most_clock_drift_ms = 200;
 
@@ -32,6 +32,13 @@
     return t.tv_sec * ms_per_s + t.tv_nsec / ns_per_ms;
 }
 
+/// From 0 to below 1, by the address alone.
+double spread_of(const std::string& address)
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(common::hash64(address) % steps) / static_cast<double>(steps);
+}
+
 /// How far the boot clock is ahead of the steady one.
 std::int64_t boot_offset_ms()
 {
@@ -40,15 +47,16 @@
 
 } // namespace
 
-leadership::leadership(io::event_loop& loop, kv::store& store, std::string key, std::string address)
-    : m_loop{loop}, m_store{store}, m_key{std::move(key)}, m_address{std::move(address)}
+leadership::leadership(io::event_loop& loop, kv::store& store, std::string key, std::string address,
+                       experts::group_view& view)
+    : m_loop{loop}, m_store{store}, m_key{std::move(key)}, m_address{std::move(address)},
+      m_view{view}, m_spread{spread_of(m_address)}
 {
 }
 
 void leadership::start()
 {
-    const milliseconds delay{
-        static_cast<std::int64_t>(common::hash64(m_address) % first_step_spread_ms)};
+    const milliseconds delay{static_cast<std::int64_t>(m_spread * first_step_spread_ms)};
     m_timer = m_loop.after(delay,
                            [this]
                            {
@@ -75,7 +83,7 @@
 {
     if (m_token != 0 && !token(common::now()))
         lost("the lease may have ended");
-    if (m_is_asking)
+    if (m_is_asking || (m_token == 0 && !m_view.is_silent(common::now(), m_spread)))
         return;
     m_is_asking = true;
     if (m_token != 0)
@@ -95,14 +103,14 @@
                                 return;
                             if (!answer.value())
                                 return campaign();
-                            m_leader_address = answer.value()->value;
+                            m_view.store_named(answer.value()->value);
                         });
 }
 
 void leadership::campaign()
 {
     m_is_asking = true;
-    m_leader_address.clear();
+    m_view.forget_leader();
     const auto asked_at = common::now();
     m_store.grant_lease(lease_ttl,
                         [this, asked_at](const auto& answer)
@@ -127,7 +135,7 @@
             m_lease = lease;
             m_token = answer.value().front().as_of;
             m_valid_until = asked_at + lease_ttl - lease_margin;
-            m_leader_address = m_address;
+            m_view.store_named(m_address);
             common::log(common::log_level::info, "lease_won", {{"key", m_key}, {"token", m_token}});
         });
 }
@@ -153,7 +161,7 @@
     common::log(common::log_level::warn, "lease_lost",
                 {{"key", m_key}, {"token", m_token}, {"reason", why}});
     m_token = 0;
-    m_leader_address.clear();
+    m_view.forget_leader();
 }
 
 } // namespace kumquatgap::rank_agent
--- a/source/rank_agent/leadership.hpp
+++ b/source/rank_agent/leadership.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "experts/switch_message.hpp"
+#include "experts/group_view.hpp"
 #include "io/event_loop.hpp"
 #include "kv/store.hpp"
 
@@ -12,11 +12,13 @@
 
 /// Who controls the group, by a key of the store under a lease. The key's revision is the fencing
 /// token. While this process leads it renews the lease, and it stops leading before the lease can
-/// have ended: by the steady clock, or when the machine has slept.
+/// have ended: by the steady clock, or when the machine has slept. While another one leads, the
+/// store is asked only when that one's beacons have ended.
 class leadership
 {
 public:
-    leadership(io::event_loop& loop, kv::store& store, std::string key, std::string address);
+    leadership(io::event_loop& loop, kv::store& store, std::string key, std::string address,
+               experts::group_view& view);
 
     void start();
     /// Stops leading and asks the store for nothing more. The object must live on, since an answer
@@ -26,8 +28,6 @@
     void give_up() { lost("given up"); }
     /// The token while this process surely leads.
     std::optional<experts::fencing_token> token(common::timestamp now) const;
-    /// The control address of the controller, as far as it is known; empty otherwise.
-    const std::string& leader_address() const { return m_leader_address; }
 
 private:
     void step();
@@ -41,7 +41,9 @@
     kv::store& m_store;
     std::string m_key;
     std::string m_address;
-    std::string m_leader_address;
+    experts::group_view& m_view;
+    /// From 0 to below 1, other for each agent: who asks the store when.
+    double m_spread;
     kv::lease_id m_lease = 0;
     experts::fencing_token m_token = 0;
     /// The lease surely runs until then; it counts from when it was asked for.
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -19,10 +19,6 @@
 constexpr milliseconds tick_period{25};
 /// How often the rank is asked for its state at rest; in a switch it is asked at each tick.
 constexpr milliseconds report_period{250};
-constexpr milliseconds choices_period{150};
-/// A group's controller gets one message on choices in this time, however many ranks there are;
-/// 2.3 kB each are a third of its link of 8 Mbit/s.
-constexpr milliseconds choices_spacing{7};
 /// A state that has not changed is told again after this, at rest and in a switch.
 constexpr milliseconds rest_status_period{500};
 constexpr milliseconds switch_status_period{100};
@@ -38,9 +34,15 @@
 /// Settings that are used as soon as they change; the others need a new start.
 constexpr auto s_reloadable = std::to_array<std::string_view>({"process.log_level"});
 
-io::call_options to_rank(milliseconds silence)
+/// The longest answer of a rank; its lists and counts take a few tens of kB.
+constexpr std::size_t most_answer_bytes = std::size_t{1} << 20;
+
+io::call_options to_rank(milliseconds timeout)
 {
-    return {.connect_timeout = silence, .silence_timeout = silence};
+    return {.connect_timeout = timeout,
+            .silence_timeout = timeout,
+            .whole_timeout = timeout,
+            .most_body_bytes = most_answer_bytes};
 }
 
 } // namespace
@@ -52,6 +54,10 @@
     schema.add("rank", "service", common::text_setting{&s.service});
     schema.add("rank", "checks_fences", common::flag_setting{&s.checks_fences});
     schema.add("rank", "metrics_listen", common::address_setting{&s.metrics_listen, false});
+    constexpr double slowest_mbps = 0.1;
+    constexpr double fastest_mbps = 1e6;
+    schema.add("control", "link_mbps",
+               common::decimal_setting{&s.link_mbps, slowest_mbps, fastest_mbps});
 }
 
 rank_agent::rank_agent(io::event_loop& loop, io::http_client& client, kv::store& store,
@@ -65,6 +71,7 @@
           {},
           [this](const io::received_request& received, const io::responder_ptr& answer)
           {
+              write_metrics(common::now());
               if (!shell::answer_admin_request(received.request, *answer, true, m_metrics))
                   answer->reply({404, {}, ""});
           }}
@@ -112,6 +119,8 @@
 {
     common::log(common::log_level::info, "group_joined", {{"group", name}, {"left", m_group}});
     m_group = name;
+    m_view = {};
+    m_choice_sum.clear();
     m_remote_ranks.clear();
     m_controller.reset();
     if (m_leadership)
@@ -122,13 +131,14 @@
     }
     m_leadership = std::make_unique<leadership>(
         m_loop, m_store, common::concat("kqg/groups/", m_settings.service, "/", name),
-        m_settings.common.control_address);
+        m_settings.common.control_address, m_view);
     m_leadership->start();
 }
 
-std::string rank_agent::leader_address() const
+experts::link_budget rank_agent::link() const
 {
-    return m_leadership ? m_leadership->leader_address() : std::string{};
+    constexpr double bytes_per_s_of_mbps = 1e6 / 8;
+    return {.bytes_per_s = m_settings.link_mbps * bytes_per_s_of_mbps};
 }
 
 void rank_agent::send(const std::string& address, const experts::agent_message& m)
@@ -163,22 +173,61 @@
         move_switch_on(now);
 }
 
+void rank_agent::take(const experts::held_message& m)
+{
+    if (m_controller)
+        m_controller->take(m);
+}
+
+/// For the controller, or for the relay of a block, which sends the sum on.
 void rank_agent::take(const experts::choices_message& m)
 {
     if (m_controller)
-        m_controller->take(m, common::now());
+        return m_controller->take(m, common::now());
+    if (m.group == m_group)
+        m_choice_sum.add(m.epoch, m.choices);
+}
+
+void rank_agent::take(const experts::beacon_message& m)
+{
+    if (m.group != m_group || !m_view.take(m, common::now()) || !m_driver.has_report())
+        return;
+    const auto& r = m_driver.report();
+    if (m.is_for_block)
+    {
+        auto passed_on = m;
+        passed_on.is_for_block = false;
+        const auto block = m_view.block_addresses(r.rank);
+        std::ranges::for_each(block, [&](const auto& it) { send(it, passed_on); });
+    }
+    if (m.epoch == r.epoch && m.known_map != r.version)
+        tell_held();
 }
 
 void rank_agent::take(const experts::directive_message& m)
 {
-    auto passed_on = m.what;
+    auto passed_on = m;
+    passed_on.pass_on.clear();
     for (const auto& it : m.pass_on)
     {
-        passed_on.agent = it.agent;
-        send(it.address, experts::directive_message{passed_on});
+        passed_on.what.agent = it.agent;
+        send(it.address, passed_on);
+    }
+    auto what = m.what;
+    if (m.changes)
+    {
+        const auto base = m_maps.find(what.epoch, m.changes->base);
+        auto map = base ? experts::applied(*base, *m.changes) : std::nullopt;
+        // The controller is told which map this agent knows, and sends the whole one then.
+        if (!map)
+            return common::log(common::log_level::info, "map_base_unknown",
+                               {{"version", what.version}, {"base", m.changes->base}});
+        what.map = std::make_shared<const experts::expert_map>(std::move(*map));
     }
+    if (what.map)
+        m_maps.put(what.epoch, what.version, what.map);
     const auto before = m_driver.current().number;
-    m_driver.take(m.what);
+    m_driver.take(what);
     if (m_driver.current().number != before)
         read_report();
 }
@@ -215,20 +264,23 @@
 /// Tells the controller of the rank's state when that has changed, and else from time to time.
 void rank_agent::tell_status(timestamp now)
 {
-    const auto leader = leader_address();
+    const auto leader = m_view.leader();
     if (leader.empty())
         return;
     const auto status = m_driver.status(now);
     const bool is_at_rest = m_driver.current().phase == experts::switch_phase::rest;
     const auto period = is_at_rest ? rest_status_period : switch_status_period;
-    const bool is_news = leader != m_told_leader || experts::differ(status, m_told_status);
+    const auto known_map = m_maps.known(status.report.epoch, status.report.version);
+    const bool is_news = leader != m_told_leader || known_map != m_told_known_map ||
+                         experts::differ(status, m_told_status);
     if (!is_news && now - m_status_told < period)
         return;
     m_told_leader = leader;
     m_told_status = status;
+    m_told_known_map = known_map;
     m_status_told = now;
-    send(leader,
-         experts::status_message{m_settings.common.control_address, m_settings.target, status});
+    send(leader, experts::status_message{m_settings.common.control_address, m_settings.target,
+                                         status, known_map});
 }
 
 void rank_agent::carry_out_order()
@@ -277,6 +329,7 @@
                                      {
                                          m_held = std::move(*held);
                                          m_held_epoch = m_driver.report().epoch;
+                                         note_first_map();
                                      }
                                  }},
                                 to_rank(rank_timeout));
@@ -298,41 +351,60 @@
                                    to_rank(rank_timeout));
 }
 
-/// Sends what was chosen since the last reading; the first reading of an epoch is only a start.
-void rank_agent::choices_read(const choice_counts& counts)
+/// A group starts with the experts in turn; whether that holds shows in what the own rank holds.
+void rank_agent::note_first_map()
 {
-    const auto last = std::exchange(m_last_counts, counts);
-    if (last.epoch != counts.epoch || last.totals.size() != counts.totals.size())
-        return;
     const auto sets = m_held.sets.size();
-    if (sets == 0 || counts.totals.size() % sets != 0)
+    const auto& r = m_driver.report();
+    const bool is_current = m_held_epoch == r.epoch && m_last_counts.epoch == r.epoch;
+    if (!is_current || m_held.version != 0 || sets == 0 ||
+        m_last_counts.totals.size() % sets != 0 || m_maps.find(r.epoch, 0))
         return;
-    const auto experts = counts.totals.size() / sets;
-    std::vector<std::vector<std::int64_t>> out(sets, std::vector<std::int64_t>(experts));
-    for (std::size_t i = 0; i < counts.totals.size(); ++i)
+    auto map = experts::experts_in_turn(sets, static_cast<std::size_t>(r.size),
+                                        m_last_counts.totals.size() / sets);
+    const auto own = static_cast<std::size_t>(r.rank);
+    for (std::size_t s = 0; s < sets; ++s)
     {
-        const auto n = counts.totals[i] - last.totals[i];
-        // A restarted rank counts anew.
-        if (n < 0)
+        if (own >= map.sets[s].size() || map.sets[s][own] != m_held.sets[s])
             return;
-        out[i / experts][i % experts] = n;
     }
-    send_choices(std::move(out));
+    m_maps.put(r.epoch, 0, std::make_shared<const experts::expert_map>(std::move(map)));
+}
+
+void rank_agent::tell_held()
+{
+    const auto& r = m_driver.report();
+    if (m_held_epoch == r.epoch && m_held.version == r.version && !m_view.leader().empty())
+        send(m_view.leader(),
+             experts::held_message{r.group, r.epoch, r.rank, m_held.version, m_held.sets});
 }
 
-void rank_agent::send_choices(std::vector<std::vector<std::int64_t>> choices)
+/// Adds what was chosen since the last reading; the first reading of an epoch is only a start.
+void rank_agent::choices_read(const choice_counts& counts)
 {
-    const auto leader = leader_address();
-    if (leader.empty() || !m_driver.has_report() || m_held_epoch != m_driver.report().epoch)
+    const auto last = std::exchange(m_last_counts, counts);
+    const auto sets = m_held.sets.size();
+    if (m_driver.has_report())
+        note_first_map();
+    if (last.epoch != counts.epoch || sets == 0)
+        return;
+    m_choice_sum.add(counts.epoch, experts::chosen_since(last.totals, counts.totals, sets));
+    send_choices(common::now());
+}
+
+void rank_agent::send_choices(timestamp now)
+{
+    if (!m_driver.has_report() || m_choice_sum.empty())
         return;
     const auto& r = m_driver.report();
-    const auto now = common::now();
-    // The news of a large group are a sample: each rank sends what was chosen last.
-    if (now - m_choices_told < choices_spacing * r.size)
+    const auto bytes = experts::choices_bytes(m_choice_sum.sets(), m_choice_sum.experts());
+    if (now - m_choices_told < experts::choices_spacing(m_view.tree(), bytes, link()))
+        return;
+    const auto to = m_view.choices_address(r.rank);
+    if (to.empty())
         return;
     m_choices_told = now;
-    send(leader, experts::choices_message{r.group, r.epoch, r.rank, m_held.version,
-                                          std::move(choices), m_held.sets});
+    send(to, experts::choices_message{r.group, m_choice_sum.epoch(), m_choice_sum.take()});
 }
 
 /// Reads what the operators publish of the group's engines.
@@ -367,13 +439,25 @@
     if (!token)
         return;
     if (!m_controller)
-        m_controller = std::make_unique<group_controller>(m_group, *token, controller_options{});
+    {
+        m_controller = std::make_unique<group_controller>(
+            m_group, *token,
+            controller_options{.link = link(), .address = m_settings.common.control_address});
+        m_controller->set_earlier_addresses(m_view.addresses());
+    }
     if (!m_controller->has_engine() && now - m_engine_asked >= engine_period)
         read_engine(now);
+    send_beacons(now);
     move_switch_on(now);
     stand_in_for_agents(now);
 }
 
+void rank_agent::send_beacons(timestamp now)
+{
+    for (const auto& it : m_controller->beacons(now))
+        send(it.address, it.what);
+}
+
 void rank_agent::move_switch_on(timestamp now)
 {
     m_controller->tick(now);
@@ -409,6 +493,23 @@
     }
 }
 
+void rank_agent::write_metrics(timestamp now)
+{
+    constexpr std::int64_t unknown = -1;
+    m_metrics.set("kqg_leads", m_controller ? 1 : 0);
+    m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_socket.bytes()));
+    if (m_driver.has_report())
+    {
+        m_metrics.set("kqg_map_version", m_driver.report().version);
+        m_metrics.set("kqg_group_epoch", m_driver.report().epoch);
+    }
+    m_metrics.set("kqg_report_age_ms",
+                  m_driver.has_report() ? (now - m_report_asked).count() : unknown);
+    m_metrics.set("kqg_switch_phase", static_cast<std::int64_t>(m_driver.current().phase));
+    m_metrics.set("kqg_skew_thousandths",
+                  m_controller ? m_controller->skew_thousandths() : unknown);
+}
+
 void rank_agent::tick()
 {
     const auto now = common::now();
@@ -418,7 +519,7 @@
     const auto period = is_at_rest ? report_period : tick_period;
     if (!m_report_call && !m_order_call && now - m_report_asked >= period)
         read_report();
-    if (!m_choices_call && now - m_choices_asked >= choices_period)
+    if (!m_choices_call && now - m_choices_asked >= experts::choices_period)
         read_choices();
     if (m_shutting_down &&
         (!m_controller || m_controller->is_at_rest(now) || now - m_term_at > longest_shutdown))
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -2,6 +2,8 @@
 
 #include "common/metrics.hpp"
 #include "experts/agent_message.hpp"
+#include "experts/choice_sum.hpp"
+#include "experts/group_view.hpp"
 #include "experts/rank_driver.hpp"
 #include "io/datagram_socket.hpp"
 #include "io/event_loop.hpp"
@@ -36,6 +38,8 @@
     bool checks_fences = true;
     /// `ip:port` for metrics; none when empty.
     std::string metrics_listen;
+    /// What the host's link carries.
+    double link_mbps = 20;
 };
 
 /// Declares the agent's settings.
@@ -58,7 +62,9 @@
 private:
     void receive(std::string_view bytes);
     void take(const experts::status_message& m);
+    void take(const experts::held_message& m);
     void take(const experts::choices_message& m);
+    void take(const experts::beacon_message& m);
     void take(const experts::directive_message& m);
     void send(const std::string& address, const experts::agent_message& m);
     void tick();
@@ -68,7 +74,12 @@
     void read_choices();
     void choices_read(const choice_counts& counts);
     void read_held();
-    void send_choices(std::vector<std::vector<std::int64_t>> choices);
+    void send_choices(common::timestamp now);
+    void tell_held();
+    void note_first_map();
+    experts::link_budget link() const;
+    void send_beacons(common::timestamp now);
+    void write_metrics(common::timestamp now);
     void carry_out_order();
     void lead(common::timestamp now);
     void move_switch_on(common::timestamp now);
@@ -76,7 +87,6 @@
     void stand_in_for_agents(common::timestamp now);
     void read_settings(const std::string& text);
     void join_group(const std::string& name);
-    std::string leader_address() const;
     void begin_shutdown();
 
     io::event_loop& m_loop;
@@ -86,6 +96,7 @@
     experts::rank_driver m_driver;
     /// The rank's group; empty before its first report.
     std::string m_group;
+    experts::group_view m_view;
     std::unique_ptr<leadership> m_leadership;
     /// Those of groups that the rank has left.
     std::vector<std::unique_ptr<leadership>> m_left_groups;
@@ -99,13 +110,17 @@
     std::unique_ptr<shell::settings_follower> m_settings_follower;
     common::metrics m_metrics;
     choice_counts m_last_counts;
+    /// What was chosen and not sent on yet: by this rank, and by those that it is the relay of.
+    experts::choice_sum m_choice_sum;
     held_experts m_held;
     std::int64_t m_held_epoch = -1;
+    experts::map_archive m_maps;
     common::timestamp m_report_asked;
     common::timestamp m_choices_asked;
     common::timestamp m_choices_told;
     /// What the controller was told last, when, and which one it was.
     experts::rank_status m_told_status;
+    experts::map_version m_told_known_map = experts::map_archive::unknown;
     common::timestamp m_status_told;
     std::string m_told_leader;
     common::timestamp m_engine_asked;
--- a/source/unit_tests/experts/directive_pacer_test.cpp
+++ b/source/unit_tests/experts/directive_pacer_test.cpp
@@ -79,6 +79,25 @@
     cr_assert_leq(t.count(), 450);
 }
 
+/// Seen at 129 ranks: what did not fit the first burst was told rank by rank for most of a second.
+Test(directive_pacer, passes_on_what_did_not_fit_the_first_burst_too)
+{
+    constexpr int large = 129;
+    constexpr std::size_t bytes = 5500;
+    constexpr double link = 300'000;
+    directive_pacer pacer{{.bytes_per_s = link}};
+    std::vector<rank_number> left(large);
+    std::iota(left.begin(), left.end(), 0);
+    milliseconds t{0};
+    for (; !left.empty() && t < milliseconds{1000}; t += tick)
+    {
+        const auto told = reached(pacer.take_due(left, 7, bytes, at(t)));
+        std::erase_if(left, [&](int it) { return told.contains(it); });
+    }
+    // Eleven messages at 300 kB/s take 200 ms, less what the burst allows.
+    cr_assert_leq(t.count(), 150);
+}
+
 Test(directive_pacer, tells_all_ranks_of_a_small_directive_at_once)
 {
     directive_pacer pacer{{}};
