--- a/source/core/experts/directive_pacer.cpp
+++ b/source/core/experts/directive_pacer.cpp
@@ -20,53 +20,61 @@
     return it != m_told.end() && it->second.directive_number == directive_number;
 }
 
-bool directive_pacer::is_due(rank_number rank, std::int64_t directive_number, milliseconds repeat,
-                             timestamp now) const
+milliseconds directive_pacer::time_of(std::size_t messages, std::size_t bytes) const
 {
-    return !was_told(rank, directive_number) || now - m_told.at(rank).at >= repeat;
+    const auto all = static_cast<double>(messages) * static_cast<double>(bytes);
+    return milliseconds{static_cast<std::int64_t>(all / m_options.bytes_per_s * ms_per_s)};
+}
+
+bool directive_pacer::is_due(rank_number rank, std::int64_t directive_number, std::size_t ranks,
+                             std::size_t bytes, timestamp now) const
+{
+    if (!was_told(rank, directive_number))
+        return true;
+    const auto& it = m_told.at(rank);
+    // The relays are told one after the other, and then each tells its own.
+    const auto time = it.by_relay ? time_of(2 * (m_fan + 1), bytes) : time_of(ranks, bytes);
+    return now - it.at >= std::max(m_options.shortest_repeat, time);
 }
 
 std::vector<telling> directive_pacer::take_due(const std::vector<rank_number>& unconfirmed,
                                                std::int64_t directive_number, std::size_t bytes,
                                                timestamp now)
 {
-    const auto size = static_cast<double>(bytes);
-    const auto passed_ms = static_cast<double>((now - m_filled_at).count());
-    m_filled_at = now;
-    m_allowance =
-        std::min(m_options.burst_bytes, m_allowance + passed_ms / ms_per_s * m_options.bytes_per_s);
-    const auto all_bytes = size * static_cast<double>(unconfirmed.size());
-    const milliseconds all_time{
-        static_cast<std::int64_t>(all_bytes / m_options.bytes_per_s * ms_per_s)};
-    const auto repeat = std::max(m_options.shortest_repeat, all_time);
     const auto untold = static_cast<std::size_t>(std::ranges::count_if(
         unconfirmed, [&](rank_number it) { return !was_told(it, directive_number); }));
     // As many agents are told as each of them passes on to, so that no link carries more than twice
     // the root of the group.
     if (std::exchange(m_directive_number, directive_number) != directive_number)
         m_fan = std::max(m_options.relay_fan, static_cast<std::size_t>(std::sqrt(untold)));
-    const bool needs_relays = size * static_cast<double>(untold) > m_options.burst_bytes;
+    const bool needs_relays = static_cast<double>(bytes * untold) > m_options.burst_bytes;
     const auto fan = needs_relays ? m_fan : 0;
     std::vector<telling> out;
-    /// Those that were told before get it from nobody else.
+    const bool tells_own = std::ranges::find(unconfirmed, m_own_rank) != unconfirmed.end() &&
+                           is_due(m_own_rank, directive_number, unconfirmed.size(), bytes, now);
+    if (tells_own)
+    {
+        out.push_back({m_own_rank, {}});
+        m_told.insert_or_assign(m_own_rank, last_telling{directive_number, now, false});
+    }
+    // Those that were told before get it from nobody else.
     bool is_relay = false;
     for (const auto rank : unconfirmed)
     {
-        if (!is_due(rank, directive_number, repeat, now))
+        if (rank == m_own_rank || !is_due(rank, directive_number, unconfirmed.size(), bytes, now))
             continue;
         const bool is_new = !was_told(rank, directive_number);
         if (is_new && is_relay && out.back().passed_on.size() < fan)
             out.back().passed_on.push_back(rank);
-        else if (m_allowance <= 0)
+        else if (!m_allowance.has_some(now))
             break;
         else
         {
-            // A message that is larger than what is left goes out and is paid for afterwards.
-            m_allowance -= size;
+            m_allowance.spend(bytes);
             out.push_back({rank, {}});
             is_relay = is_new && fan > 0;
         }
-        m_told.insert_or_assign(rank, last_telling{directive_number, now});
+        m_told.insert_or_assign(rank, last_telling{directive_number, now, is_new && fan > 0});
     }
     return out;
 }
--- a/source/core/experts/directive_pacer.hpp
+++ b/source/core/experts/directive_pacer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "experts/byte_allowance.hpp"
 #include "experts/switch_message.hpp"
 
 #include <cstddef>
@@ -14,8 +15,8 @@
 {
     /// What directives may take of the controller's link: 80 % of the 8 Mbit/s of a rank's host.
     double bytes_per_s = 800'000;
-    /// Bytes that may go out at once; a link's queue holds this much.
-    double burst_bytes = 32'000;
+    /// Bytes that may go out at once.
+    double burst_bytes = byte_allowance::usual_burst;
     /// A rank that has not confirmed a directive is told again after this, or after the time
     /// that telling all ranks takes, if that is longer.
     milliseconds shortest_repeat{50};
@@ -34,12 +35,18 @@
 /// ranks of a large group, over a link that such a burst fills; news that are sent again
 /// before the first have arrived would keep it full and crowd out the renewal of the lease. A
 /// directive that doesn't fit the link at once goes out through agents that pass it on; whoever
-/// does not confirm it in time is told directly.
+/// does not confirm it in the time that this takes is told directly.
 class directive_pacer
 {
 public:
-    explicit directive_pacer(pacer_options options) : m_options{options} {}
+    explicit directive_pacer(pacer_options options)
+        : m_options{options}, m_allowance{options.bytes_per_s, options.burst_bytes}
+    {
+    }
 
+    /// The rank of the controller's own host, which is told without the link and passes nothing on:
+    /// that would take the link twice at once.
+    void set_own_rank(rank_number it) { m_own_rank = it; }
     /// The ranks that are to be told now, out of those that have not confirmed the directive yet,
     /// in the order of importance. `bytes` is the size of one message.
     std::vector<telling> take_due(const std::vector<rank_number>& unconfirmed,
@@ -50,19 +57,24 @@
     {
         std::int64_t directive_number = 0;
         timestamp at;
+        /// It was told with others, of which some had to pass it on.
+        bool by_relay = false;
     };
 
+    /// How long tellings of some messages of a size take.
+    milliseconds time_of(std::size_t messages, std::size_t bytes) const;
+
     bool was_told(rank_number rank, std::int64_t directive_number) const;
-    bool is_due(rank_number rank, std::int64_t directive_number, milliseconds repeat,
-                timestamp now) const;
+    bool is_due(rank_number rank, std::int64_t directive_number, std::size_t ranks,
+                std::size_t bytes, timestamp now) const;
 
     pacer_options m_options;
     std::map<rank_number, last_telling> m_told;
+    rank_number m_own_rank = -1;
     std::int64_t m_directive_number = 0;
     /// Ranks that one agent passes the current directive on to.
     std::size_t m_fan = 0;
-    double m_allowance = 0;
-    timestamp m_filled_at;
+    byte_allowance m_allowance;
 };
 
 } // namespace kumquatgap::experts
--- a/source/core/experts/relay_tree.hpp
+++ b/source/core/experts/relay_tree.hpp
@@ -17,9 +17,12 @@
     double bytes_per_s = 2'500'000;
     double directives_part = 0.4;
     double choices_part = 0.3;
+    /// What an agent may pass on for the controller, whose own directives take another link.
+    double relayed_part = 0.6;
 
     double directives() const { return bytes_per_s * directives_part; }
     double choices() const { return bytes_per_s * choices_part; }
+    double relayed() const { return bytes_per_s * relayed_part; }
 };
 
 /// How often a rank's choices are told while the link allows it.
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -160,6 +160,8 @@
     m_addresses.insert_or_assign(m.status.report.rank, m.address);
     m_targets.insert_or_assign(m.status.report.rank, m.target);
     m_size = static_cast<std::size_t>(std::max(0, m.status.report.size));
+    if (m.address == m_options.address)
+        m_pacer.set_own_rank(m.status.report.rank);
     m_known_maps.insert_or_assign(m.status.report.rank, m.known_map);
     take(m.status, now);
 }
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds tick_period{25};
 /// How often the rank is asked for its state at rest; in a switch it is asked at each tick.
 constexpr milliseconds report_period{250};
+/// How often messages that wait for the link are looked at.
+constexpr milliseconds relay_period{10};
 /// A state that has not changed is told again after this, at rest and in a switch.
 constexpr milliseconds rest_status_period{500};
 constexpr milliseconds switch_status_period{100};
@@ -67,6 +69,7 @@
       m_driver{draw_agent_number(), common::now(), m_settings.checks_fences},
       m_pace_notice{store, m_settings.target}, m_store{store},
       m_socket{loop, [this](std::string_view bytes) { receive(bytes); }},
+      m_relay_allowance{link().relayed()},
       m_metrics_server{
           loop,
           {},
@@ -207,15 +210,41 @@
         tell_held();
 }
 
-void rank_agent::take(const experts::directive_message& m)
+/// A newer directive makes those that still wait needless.
+void rank_agent::pass_on(const experts::directive_message& m)
 {
+    if (m.pass_on.empty())
+        return;
+    m_passed_on.clear();
     auto passed_on = m;
     passed_on.pass_on.clear();
     for (const auto& it : m.pass_on)
     {
         passed_on.what.agent = it.agent;
-        send(it.address, passed_on);
+        m_passed_on.emplace_back(it.address,
+                                 experts::to_bytes(passed_on, m_settings.common.deployment_token));
     }
+    send_passed_on(common::now());
+}
+
+/// A burst of maps would overflow the queue of the link, which loses the rest.
+void rank_agent::send_passed_on(timestamp now)
+{
+    while (!m_passed_on.empty() && m_relay_allowance.has_some(now))
+    {
+        const auto& [address, bytes] = m_passed_on.front();
+        m_socket.send(address, bytes);
+        m_relay_allowance.spend(bytes.size());
+        m_passed_on.pop_front();
+    }
+    m_relay_timer.reset();
+    if (!m_passed_on.empty())
+        m_relay_timer = m_loop.after(relay_period, [this] { send_passed_on(common::now()); });
+}
+
+void rank_agent::take(const experts::directive_message& m)
+{
+    pass_on(m);
     auto what = m.what;
     if (m.changes)
     {
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -2,6 +2,7 @@
 
 #include "common/metrics.hpp"
 #include "experts/agent_message.hpp"
+#include "experts/byte_allowance.hpp"
 #include "experts/choice_sum.hpp"
 #include "experts/group_view.hpp"
 #include "experts/rank_driver.hpp"
@@ -18,10 +19,12 @@
 #include "shell/program.hpp"
 #include "shell/settings_follower.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kumquatgap::rank_agent
@@ -67,6 +70,8 @@
     void take(const experts::beacon_message& m);
     void take(const experts::directive_message& m);
     void send(const std::string& address, const experts::agent_message& m);
+    void pass_on(const experts::directive_message& m);
+    void send_passed_on(common::timestamp now);
     void tick();
     void read_report();
     void tell_status(common::timestamp now);
@@ -106,6 +111,9 @@
     std::map<experts::rank_number, std::unique_ptr<remote_rank>> m_remote_ranks;
     kv::store& m_store;
     io::datagram_socket m_socket;
+    /// Directives for others that wait for the link, and where they go.
+    std::deque<std::pair<std::string, std::string>> m_passed_on;
+    experts::byte_allowance m_relay_allowance;
     io::http_server m_metrics_server;
     std::unique_ptr<shell::settings_follower> m_settings_follower;
     common::metrics m_metrics;
@@ -129,6 +137,7 @@
     io::call_handle m_held_call;
     io::call_handle m_order_call;
     io::timer_handle m_tick_timer;
+    io::timer_handle m_relay_timer;
     io::timer_handle m_store_calls_timer;
     bool m_shutting_down = false;
     common::timestamp m_term_at;
--- a/source/unit_tests/experts/directive_pacer_test.cpp
+++ b/source/unit_tests/experts/directive_pacer_test.cpp
@@ -98,6 +98,42 @@
     cr_assert_leq(t.count(), 150);
 }
 
+/// Seen at 129 ranks: whoever the relays had lost was told only after the time of telling all
+/// directly.
+Test(directive_pacer, does_not_wait_for_lost_relays_as_long_as_for_telling_all)
+{
+    constexpr int large = 129;
+    constexpr std::size_t bytes = 5500;
+    directive_pacer pacer{{.bytes_per_s = 300'000}};
+    std::vector<rank_number> all(large);
+    std::iota(all.begin(), all.end(), 0);
+    milliseconds t{0};
+    std::size_t relayed = 0;
+    for (; relayed < large; t += tick)
+        relayed += reached(pacer.take_due(all, 7, bytes, at(t))).size();
+    bool is_told_again = false;
+    for (; t < milliseconds{1000} && !is_told_again; t += tick)
+        is_told_again = !pacer.take_due(all, 7, bytes, at(t)).empty();
+    // Twice eleven messages at 300 kB/s take 440 ms; all of them would take 2.3 s.
+    cr_assert(is_told_again);
+    cr_assert_leq(t.count(), 600);
+}
+
+/// Seen at 129 ranks: the controller's own rank was the first relay, and what it passed on filled
+/// the link that the other relays were told over.
+Test(directive_pacer, the_controllers_own_rank_passes_nothing_on)
+{
+    directive_pacer pacer{{}};
+    pacer.set_own_rank(0);
+    const auto due = pacer.take_due(all_ranks(), 7, map_bytes, at(milliseconds{0}));
+    cr_assert_eq(reached(due).size(), static_cast<std::size_t>(ranks));
+    const auto own = std::ranges::find(due, 0, &telling::rank);
+    cr_assert(own != due.end() && own->passed_on.empty());
+    cr_assert(
+        std::ranges::none_of(due, [](const auto& it)
+                             { return std::ranges::find(it.passed_on, 0) != it.passed_on.end(); }));
+}
+
 Test(directive_pacer, tells_all_ranks_of_a_small_directive_at_once)
 {
     directive_pacer pacer{{}};
