--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -73,6 +73,7 @@
                               .known_map = current_map() ? m_switch.version()
                                                          : experts::map_archive::unknown};
     std::vector<std::string> addresses;
+    addresses.reserve(static_cast<std::size_t>(divided.size));
     for (experts::rank_number rank = 0; rank < divided.size; ++rank)
         addresses.push_back(address_of(rank));
     std::vector<told_beacon> out;
@@ -198,7 +199,7 @@
 std::shared_ptr<const experts::expert_map> group_controller::current_map()
 {
     const auto version = m_switch.version();
-    if (const auto known = m_maps.find(m_epoch, version))
+    if (auto known = m_maps.find(m_epoch, version))
         return known;
     experts::expert_map out;
     for (const auto& [rank, it] : m_held)
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -19,8 +19,6 @@
 constexpr milliseconds tick_period{25};
 /// How often the rank is asked for its state at rest; in a switch it is asked at each tick.
 constexpr milliseconds report_period{250};
-/// How often messages that wait for the link are looked at.
-constexpr milliseconds relay_period{10};
 /// A state that has not changed is told again after this, at rest and in a switch.
 constexpr milliseconds rest_status_period{500};
 constexpr milliseconds switch_status_period{100};
@@ -68,17 +66,20 @@
     : m_loop{loop}, m_client{client}, m_wire{names}, m_settings{std::move(settings)},
       m_driver{draw_agent_number(), common::now(), m_settings.checks_fences},
       m_pace_notice{store, m_settings.target}, m_store{store},
-      m_socket{loop, [this](std::string_view bytes) { receive(bytes); }},
-      m_relay_allowance{link().relayed()},
-      m_metrics_server{
-          loop,
-          {},
-          [this](const io::received_request& received, const io::responder_ptr& answer)
-          {
-              write_metrics(common::now());
-              if (!shell::answer_admin_request(received.request, *answer, true, m_metrics))
-                  answer->reply({404, {}, ""});
-          }}
+      m_messenger{loop, m_settings.common.control_address, m_settings.common.deployment_token,
+                  link(),
+                  [this](const experts::agent_message& m)
+                  { std::visit([this](const auto& it) { take(it); }, m); }},
+      m_choices{link()}, m_metrics_server{loop,
+                                          {},
+                                          [this](const io::received_request& received,
+                                                 const io::responder_ptr& answer)
+                                          {
+                                              write_metrics(common::now());
+                                              if (!shell::answer_admin_request(
+                                                      received.request, *answer, true, m_metrics))
+                                                  answer->reply({404, {}, ""});
+                                          }}
 {
 }
 
@@ -87,7 +88,7 @@
 int rank_agent::run()
 {
     const bool has_addresses =
-        m_socket.listen(m_settings.common.control_address) &&
+        m_messenger.listen() &&
         (m_settings.metrics_listen.empty() || m_metrics_server.listen(m_settings.metrics_listen));
     if (!has_addresses)
     {
@@ -126,7 +127,7 @@
     common::log(common::log_level::info, "group_joined", {{"group", name}, {"left", m_group}});
     m_group = name;
     m_view = {};
-    m_choice_sum.clear();
+    m_choices.clear();
     m_remote_ranks.clear();
     m_controller.reset();
     if (m_leadership)
@@ -147,25 +148,6 @@
     return {.bytes_per_s = m_settings.link_mbps * bytes_per_s_of_mbps};
 }
 
-void rank_agent::send(const std::string& address, const experts::agent_message& m)
-{
-    const auto& own = m_settings.common;
-    // The controller's own rank is told without the network.
-    if (address == own.control_address)
-        std::visit([this](const auto& it) { take(it); }, m);
-    else
-        m_socket.send(address, experts::to_bytes(m, own.deployment_token));
-}
-
-void rank_agent::receive(std::string_view bytes)
-{
-    const auto m = experts::from_bytes(bytes, m_settings.common.deployment_token);
-    if (m)
-        return std::visit([this](const auto& it) { take(it); }, *m);
-    common::log(common::log_level::warn, "agent_message_refused",
-                {{"code", common::number(common::result_code::bad_message)}});
-}
-
 void rank_agent::take(const experts::status_message& m)
 {
     if (!m_controller)
@@ -191,7 +173,7 @@
     if (m_controller)
         return m_controller->take(m, common::now());
     if (m.group == m_group)
-        m_choice_sum.add(m.epoch, m.choices);
+        m_choices.take(m);
 }
 
 void rank_agent::take(const experts::beacon_message& m)
@@ -204,47 +186,15 @@
         auto passed_on = m;
         passed_on.is_for_block = false;
         const auto block = m_view.block_addresses(r.rank);
-        std::ranges::for_each(block, [&](const auto& it) { send(it, passed_on); });
+        std::ranges::for_each(block, [&](const auto& it) { m_messenger.send(it, passed_on); });
     }
     if (m.epoch == r.epoch && m.known_map != r.version)
         tell_held();
 }
 
-/// A newer directive makes those that still wait needless.
-void rank_agent::pass_on(const experts::directive_message& m)
-{
-    if (m.pass_on.empty())
-        return;
-    m_passed_on.clear();
-    auto passed_on = m;
-    passed_on.pass_on.clear();
-    for (const auto& it : m.pass_on)
-    {
-        passed_on.what.agent = it.agent;
-        m_passed_on.emplace_back(it.address,
-                                 experts::to_bytes(passed_on, m_settings.common.deployment_token));
-    }
-    send_passed_on(common::now());
-}
-
-/// A burst of maps would overflow the queue of the link, which loses the rest.
-void rank_agent::send_passed_on(timestamp now)
-{
-    while (!m_passed_on.empty() && m_relay_allowance.has_some(now))
-    {
-        const auto& [address, bytes] = m_passed_on.front();
-        m_socket.send(address, bytes);
-        m_relay_allowance.spend(bytes.size());
-        m_passed_on.pop_front();
-    }
-    m_relay_timer.reset();
-    if (!m_passed_on.empty())
-        m_relay_timer = m_loop.after(relay_period, [this] { send_passed_on(common::now()); });
-}
-
 void rank_agent::take(const experts::directive_message& m)
 {
-    pass_on(m);
+    m_messenger.pass_on(m);
     auto what = m.what;
     if (m.changes)
     {
@@ -311,8 +261,8 @@
     m_told_status = status;
     m_told_known_map = known_map;
     m_status_told = now;
-    send(leader, experts::status_message{m_settings.common.control_address, m_settings.target,
-                                         status, known_map});
+    m_messenger.send(leader, experts::status_message{m_settings.common.control_address,
+                                                     m_settings.target, status, known_map});
 }
 
 void rank_agent::carry_out_order()
@@ -383,60 +333,32 @@
                                    to_rank(rank_timeout));
 }
 
-/// A group starts with the experts in turn; whether that holds shows in what the own rank holds.
 void rank_agent::note_first_map()
 {
-    const auto sets = m_held.sets.size();
     const auto& r = m_driver.report();
-    const bool is_current = m_held_epoch == r.epoch && m_last_counts.epoch == r.epoch;
-    if (!is_current || m_held.version != 0 || sets == 0 ||
-        m_last_counts.totals.size() % sets != 0 || m_maps.find(r.epoch, 0))
+    if (m_held_epoch != r.epoch || m_maps.find(r.epoch, 0))
         return;
-    auto map = experts::experts_in_turn(sets, static_cast<std::size_t>(r.size),
-                                        m_last_counts.totals.size() / sets);
-    const auto own = static_cast<std::size_t>(r.rank);
-    for (std::size_t s = 0; s < sets; ++s)
-    {
-        if (own >= map.sets[s].size() || map.sets[s][own] != m_held.sets[s])
-            return;
-    }
-    m_maps.put(r.epoch, 0, std::make_shared<const experts::expert_map>(std::move(map)));
+    if (auto map = m_choices.first_map(r, m_held))
+        m_maps.put(r.epoch, 0, std::move(map));
 }
 
 void rank_agent::tell_held()
 {
     const auto& r = m_driver.report();
     if (m_held_epoch == r.epoch && m_held.version == r.version && !m_view.leader().empty())
-        send(m_view.leader(),
-             experts::held_message{r.group, r.epoch, r.rank, m_held.version, m_held.sets});
+        m_messenger.send(m_view.leader(), experts::held_message{r.group, r.epoch, r.rank,
+                                                                m_held.version, m_held.sets});
 }
 
-/// Adds what was chosen since the last reading; the first reading of an epoch is only a start.
 void rank_agent::choices_read(const choice_counts& counts)
 {
-    const auto last = std::exchange(m_last_counts, counts);
-    const auto sets = m_held.sets.size();
-    if (m_driver.has_report())
-        note_first_map();
-    if (last.epoch != counts.epoch || sets == 0)
-        return;
-    m_choice_sum.add(counts.epoch, experts::chosen_since(last.totals, counts.totals, sets));
-    send_choices(common::now());
-}
-
-void rank_agent::send_choices(timestamp now)
-{
-    if (!m_driver.has_report() || m_choice_sum.empty())
+    m_choices.take(counts, m_held.sets.size());
+    if (!m_driver.has_report())
         return;
+    note_first_map();
     const auto& r = m_driver.report();
-    const auto bytes = experts::choices_bytes(m_choice_sum.sets(), m_choice_sum.experts());
-    if (now - m_choices_told < experts::choices_spacing(m_view.tree(), bytes, link()))
-        return;
-    const auto to = m_view.choices_address(r.rank);
-    if (to.empty())
-        return;
-    m_choices_told = now;
-    send(to, experts::choices_message{r.group, m_choice_sum.epoch(), m_choice_sum.take()});
+    if (const auto m = m_choices.due(r, m_view, common::now()))
+        m_messenger.send(m_view.choices_address(r.rank), *m);
 }
 
 /// Reads what the operators publish of the group's engines.
@@ -487,7 +409,7 @@
 void rank_agent::send_beacons(timestamp now)
 {
     for (const auto& it : m_controller->beacons(now))
-        send(it.address, it.what);
+        m_messenger.send(it.address, it.what);
 }
 
 void rank_agent::move_switch_on(timestamp now)
@@ -496,7 +418,7 @@
     if (m_controller->current().phase == experts::switch_phase::rest)
         m_remote_ranks.clear();
     for (const auto& it : m_controller->agents_to_tell(now))
-        send(it.address, it.what);
+        m_messenger.send(it.address, it.what);
 }
 
 /// A frozen agent would keep the group held until it wakes, so its rank is driven from here.
@@ -530,7 +452,7 @@
     constexpr std::int64_t unknown = -1;
     m_store.counts().write_metrics(m_metrics);
     m_metrics.set("kqg_leads", m_controller ? 1 : 0);
-    m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_socket.bytes()));
+    m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_messenger.bytes()));
     if (m_driver.has_report())
     {
         m_metrics.set("kqg_map_version", m_driver.report().version);
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -2,29 +2,26 @@
 
 #include "common/metrics.hpp"
 #include "experts/agent_message.hpp"
-#include "experts/byte_allowance.hpp"
-#include "experts/choice_sum.hpp"
 #include "experts/group_view.hpp"
 #include "experts/rank_driver.hpp"
-#include "io/datagram_socket.hpp"
 #include "io/event_loop.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
 #include "kv/store.hpp"
+#include "rank_agent/choice_reporter.hpp"
 #include "rank_agent/group_controller.hpp"
 #include "rank_agent/leadership.hpp"
+#include "rank_agent/messenger.hpp"
 #include "rank_agent/pace_notice.hpp"
 #include "rank_agent/rank_wire.hpp"
 #include "rank_agent/remote_rank.hpp"
 #include "shell/program.hpp"
 #include "shell/settings_follower.hpp"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace kumquatgap::rank_agent
@@ -63,15 +60,11 @@
     int run();
 
 private:
-    void receive(std::string_view bytes);
     void take(const experts::status_message& m);
     void take(const experts::held_message& m);
     void take(const experts::choices_message& m);
     void take(const experts::beacon_message& m);
     void take(const experts::directive_message& m);
-    void send(const std::string& address, const experts::agent_message& m);
-    void pass_on(const experts::directive_message& m);
-    void send_passed_on(common::timestamp now);
     void tick();
     void read_report();
     void tell_status(common::timestamp now);
@@ -79,7 +72,6 @@
     void read_choices();
     void choices_read(const choice_counts& counts);
     void read_held();
-    void send_choices(common::timestamp now);
     void tell_held();
     void note_first_map();
     experts::link_budget link() const;
@@ -110,22 +102,16 @@
     /// Ranks that are driven from here while their agents are silent.
     std::map<experts::rank_number, std::unique_ptr<remote_rank>> m_remote_ranks;
     kv::store& m_store;
-    io::datagram_socket m_socket;
-    /// Directives for others that wait for the link, and where they go.
-    std::deque<std::pair<std::string, std::string>> m_passed_on;
-    experts::byte_allowance m_relay_allowance;
+    messenger m_messenger;
+    choice_reporter m_choices;
     io::http_server m_metrics_server;
     std::unique_ptr<shell::settings_follower> m_settings_follower;
     common::metrics m_metrics;
-    choice_counts m_last_counts;
-    /// What was chosen and not sent on yet: by this rank, and by those that it is the relay of.
-    experts::choice_sum m_choice_sum;
     held_experts m_held;
     std::int64_t m_held_epoch = -1;
     experts::map_archive m_maps;
     common::timestamp m_report_asked;
     common::timestamp m_choices_asked;
-    common::timestamp m_choices_told;
     /// What the controller was told last, when, and which one it was.
     experts::rank_status m_told_status;
     experts::map_version m_told_known_map = experts::map_archive::unknown;
@@ -137,7 +123,6 @@
     io::call_handle m_held_call;
     io::call_handle m_order_call;
     io::timer_handle m_tick_timer;
-    io::timer_handle m_relay_timer;
     io::timer_handle m_store_calls_timer;
     bool m_shutting_down = false;
     common::timestamp m_term_at;
--- a/source/unit_tests/membership/spreader_test.cpp
+++ b/source/unit_tests/membership/spreader_test.cpp
@@ -26,6 +26,7 @@
         : it{{"self", "10.0.0.1:1"}, options, 1}
     {
         std::vector<peer> all;
+        all.reserve(static_cast<std::size_t>(peers));
         for (int i = 0; i < peers; ++i)
             all.push_back({"p" + std::to_string(i), "10.0.1." + std::to_string(i) + ":1"});
         it.set_peers(all);
--- a/tests/platform/gateway_endless_test.cpp
+++ b/tests/platform/gateway_endless_test.cpp
@@ -22,7 +22,7 @@
 constexpr int last_event = 8;
 /// What a gateway's memory may grow by while one target sends without end: the longest answer that
 /// is collected (16 MiB) twice, as it is kept and as it is passed on, and the heap's slack.
-constexpr std::int64_t most_growth_kb = 40 * 1024;
+constexpr std::int64_t most_growth_kb = 40'960;
 constexpr common::milliseconds write_period{1};
 constexpr std::size_t block_bytes = std::size_t{64} << 10;
 
