Send the whole map to an agent whose base is not the controller's

Cause: a controller that takes over learns the map in force from what the ranks list, whose order is their own; the changes of that map fitted no agent's (checksum), which said nothing of it, so that no map was switched until the epoch ended. Change: an agent that can't apply changes forgets their base and says so at once; the controller then sends the whole map. Ruled out: a checksum that passes over the order (ranks would hold maps that differ in it).

--- a/source/core/experts/map_changes.cpp
+++ b/source/core/experts/map_changes.cpp
@@ -78,12 +78,17 @@
 {
     if (std::exchange(m_epoch, epoch) != epoch)
         m_entries.clear();
-    std::erase_if(m_entries, [version](const entry& it) { return it.version == version; });
+    forget(version);
     m_entries.push_back({version, std::move(map)});
     if (m_entries.size() > most_maps)
         m_entries.pop_front();
 }
 
+void map_archive::forget(map_version version)
+{
+    std::erase_if(m_entries, [version](const entry& it) { return it.version == version; });
+}
+
 std::shared_ptr<const expert_map> map_archive::find(std::int64_t epoch, map_version version) const
 {
     const auto it = std::ranges::find(m_entries, version, &entry::version);
--- a/source/core/experts/map_changes.hpp
+++ b/source/core/experts/map_changes.hpp
@@ -46,6 +46,8 @@
     static constexpr map_version unknown = -1;
 
     void put(std::int64_t epoch, map_version version, std::shared_ptr<const expert_map> map);
+    /// Gives up a version that has turned out not to be the one that others know by its number.
+    void forget(map_version version);
     std::shared_ptr<const expert_map> find(std::int64_t epoch, map_version version) const;
     /// The version itself if it is known, `unknown` otherwise.
     map_version known(std::int64_t epoch, map_version version) const
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -192,6 +192,17 @@
         tell_held();
 }
 
+/// The controller knows the map in force by another way than this agent, with the experts in
+/// another order perhaps, so it is told that this agent does not have it, and sends the whole map.
+void rank_agent::give_up_base(const experts::map_changes& changes, experts::map_version version)
+{
+    common::log(common::log_level::info, "map_base_unknown",
+                {{"version", version}, {"base", changes.base}});
+    m_maps.forget(changes.base);
+    if (m_driver.has_report())
+        tell_status(common::now());
+}
+
 void rank_agent::take(const experts::directive_message& m)
 {
     m_messenger.pass_on(m);
@@ -200,10 +211,8 @@
     {
         const auto base = m_maps.find(what.epoch, m.changes->base);
         auto map = base ? experts::applied(*base, *m.changes) : std::nullopt;
-        // The controller is told which map this agent knows, and sends the whole one then.
         if (!map)
-            return common::log(common::log_level::info, "map_base_unknown",
-                               {{"version", what.version}, {"base", m.changes->base}});
+            return give_up_base(*m.changes, what.version);
         what.map = std::make_shared<const experts::expert_map>(std::move(*map));
     }
     if (what.map)
@@ -449,20 +458,17 @@
 
 void rank_agent::write_metrics(timestamp now)
 {
-    constexpr std::int64_t unknown = -1;
     m_store.counts().write_metrics(m_metrics);
     m_metrics.set("kqg_leads", m_controller ? 1 : 0);
     m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_messenger.bytes()));
-    if (m_driver.has_report())
-    {
-        m_metrics.set("kqg_map_version", m_driver.report().version);
-        m_metrics.set("kqg_group_epoch", m_driver.report().epoch);
-    }
-    m_metrics.set("kqg_report_age_ms",
-                  m_driver.has_report() ? (now - m_report_asked).count() : unknown);
     m_metrics.set("kqg_switch_phase", static_cast<std::int64_t>(m_driver.current().phase));
-    m_metrics.set("kqg_skew_thousandths",
-                  m_controller ? m_controller->skew_thousandths() : unknown);
+    if (m_controller)
+        m_metrics.set("kqg_skew_thousandths", m_controller->skew_thousandths());
+    if (!m_driver.has_report())
+        return;
+    m_metrics.set("kqg_map_version", m_driver.report().version);
+    m_metrics.set("kqg_group_epoch", m_driver.report().epoch);
+    m_metrics.set("kqg_report_age_ms", (now - m_report_asked).count());
 }
 
 void rank_agent::tick()
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -73,6 +73,7 @@
     void choices_read(const choice_counts& counts);
     void read_held();
     void tell_held();
+    void give_up_base(const experts::map_changes& changes, experts::map_version version);
     void note_first_map();
     experts::link_budget link() const;
     void send_beacons(common::timestamp now);
--- a/source/unit_tests/experts/map_changes_test.cpp
+++ b/source/unit_tests/experts/map_changes_test.cpp
@@ -74,4 +74,6 @@
     it.put(2, 0, map);
     cr_assert_eq(it.known(2, 0), 0);
     cr_assert_eq(it.known(2, 4), map_archive::unknown);
+    it.forget(0);
+    cr_assert_eq(it.known(2, 0), map_archive::unknown);
 }
--- a/tests/platform/rank_agents_test.cpp
+++ b/tests/platform/rank_agents_test.cpp
@@ -164,6 +164,25 @@
     site.check_whole();
 }
 
+/// A new controller learns the map from what the ranks list, in another order than the agents have
+/// it.
+Test(rank_agents, take_maps_of_a_new_controller_in_the_same_epoch)
+{
+    agents_site site;
+    for (int i = 0; i < 3; ++i)
+    {
+        cr_assert(site.gets_new_map());
+        cr_assert(site.wait_until([&] { return site.leader() < ranks; }));
+        const auto leader = site.leader();
+        site.agents[leader]->kill();
+        cr_assert(
+            site.wait_until([&] { return site.leader() < ranks && site.leader() != leader; }));
+        site.start(leader);
+        cr_assert(site.gets_new_map());
+    }
+    site.check_whole();
+}
+
 Test(rank_agents, go_on_without_a_paused_controller_that_wakes_up_late)
 {
     agents_site site;
--- a/tests/stand_ins/rank_group.cpp
+++ b/tests/stand_ins/rank_group.cpp
@@ -160,6 +160,8 @@
     else
         held =
             json::parse(it.map).at(0).at(static_cast<std::size_t>(r.rank)).get<std::vector<int>>();
+    // A rank lists its experts in an order of its own.
+    std::ranges::sort(held);
     return json{{"map", {{"version", r.version}, {"experts", {held}}}}}.dump();
 }
 
