--- a/source/core/experts/agent_message.cpp
+++ b/source/core/experts/agent_message.cpp
@@ -44,6 +44,8 @@
     std::size_t m_next = 0;
 };
 
+/// No group is larger; a beacon that says so is malformed.
+constexpr int most_ranks = 65'536;
 /// Fractions travel as whole thousandths.
 constexpr double per_thousand = 1000;
 
@@ -222,7 +224,9 @@
     out.epoch = it.next<std::int64_t>();
     out.known_map = it.next<map_version>();
     out.is_for_block = it.next<bool>();
-    if (out.tree.size < 0 || out.tree.block_size < 1)
+    const auto& tree = out.tree;
+    if (tree.size < 0 || tree.size > most_ranks || tree.block_size < 1 ||
+        tree.block_size > std::max(1, tree.size))
         return std::nullopt;
     return out;
 }
--- a/source/unit_tests/experts/agent_message_test.cpp
+++ b/source/unit_tests/experts/agent_message_test.cpp
@@ -75,6 +75,31 @@
     cr_assert(std::get<choices_message>(*read).choices == m.choices);
 }
 
+Test(agent_message, carries_beacons_and_refuses_those_of_no_possible_group)
+{
+    beacon_message m{.group = "g",
+                     .token = 7,
+                     .leader = "10.0.0.1:1",
+                     .tree = {4, 2, {0, relay_tree::no_rank}},
+                     .addresses = {"10.0.0.1:1", "", "10.0.0.3:65535", "10.0.0.4:80"},
+                     .epoch = 3,
+                     .known_map = 5,
+                     .is_for_block = true};
+    const auto read = from_bytes(to_bytes(m, "t"), "t");
+    cr_assert(read && std::holds_alternative<beacon_message>(*read));
+    const auto& it = std::get<beacon_message>(*read);
+    cr_assert(it.tree == m.tree);
+    cr_assert(it.addresses == m.addresses);
+    cr_assert_eq(it.known_map, 5);
+    cr_assert(it.is_for_block);
+    for (const auto& tree : {relay_tree{-1, 1, {}}, relay_tree{4, 0, {}}, relay_tree{4, 5, {}},
+                             relay_tree{2'000'000'000, 2'000'000'000, {}}})
+    {
+        m.tree = tree;
+        cr_assert(!from_bytes(to_bytes(m, "t"), "t"));
+    }
+}
+
 Test(agent_message, refuses_another_token_and_cut_messages)
 {
     directive d;
