Let the agents of rank_agents_test log at debug

Cause: its one failure can't be read from lines at info. Change: the level; nothing of what is checked. Ruled out: nothing. Conclusion: kept until the failure is traced.

--- a/tests/platform/rank_agents_test.cpp
+++ b/tests/platform/rank_agents_test.cpp
@@ -62,7 +62,8 @@
             addresses.push_back(failures::free_address());
             targets.push_back(of.address(rank));
             std::ofstream{settings(i)}
-                << "[process]\nhost = agent-" << i << "\ndata_centre = a\ndeployment_token = t\n"
+                << "[process]\nhost = agent-" << i
+                << "\ndata_centre = a\nlog_level = debug\ndeployment_token = t\n"
                 << "[store]\naddress = " << store.address() << "\ntimeout_ms = 800\n"
                 << "[control]\nlisten = " << addresses[i] << "\n[rank]\ntarget = " << targets[i]
                 << "\nservice = engine\nchecks_fences = true\n";
