--- a/source/core/experts/directive_pacer.hpp
+++ b/source/core/experts/directive_pacer.hpp
@@ -13,7 +13,7 @@
 /// The rates of a pacer.
 struct pacer_options
 {
-    /// What directives may take of the controller's link: 80 % of the 8 Mbit/s of a rank's host.
+    /// What directives may take of the controller's link; the owner works it out from the settings.
     double bytes_per_s = 800'000;
     /// Bytes that may go out at once.
     double burst_bytes = byte_allowance::usual_burst;
