Obey targets that say that they leave or want to be left alone

Cause: no code read Server-Leaving or a target's Retry-After, so that a target with a good entry in the store got calls after its notice, and one that was full got them at once again. Change: target_notices keeps what targets said of themselves by id and start, outlives lapsed entries, and ends with another start; target_table leaves such targets out; gateways tell each other of leaving ones with their loads; calls that can't start before any target takes work are refused at once with that time. Ruled out: marks without the start, which a target that starts again under its id would keep.

--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -46,6 +46,7 @@
     {target_unreachable, "target_unreachable", 503, not_run, "The target took no connection."},
     {wrong_target, "wrong_target", 503, not_run, "The agent does not serve this service."},
     {router_full, "router_full", 429, not_run, "This router has reached its open call limit."},
+    {target_busy, "target_busy", 503, not_run, "The target has asked to be left alone for a time."},
 
     {outcome_unknown, "outcome_unknown", 504, unknown,
      "The call may have run; its answer was lost."},
--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -50,6 +50,7 @@
     target_unreachable = 2009,
     wrong_target = 2010,
     router_full = 2011,
+    target_busy = 2012,
 
     outcome_unknown = 3001,
     in_progress = 3002,
--- a/source/core/common/text.cpp
+++ b/source/core/common/text.cpp
@@ -3,6 +3,8 @@
 #include <absl/strings/escaping.h>
 #include <absl/strings/match.h>
 
+#include <cmath>
+
 namespace kumquatgap::common
 {
 
@@ -17,6 +19,13 @@
 
 } // namespace
 
+bool parse_decimal(std::string_view text, double& out)
+{
+    const auto* end = text.data() + text.size();
+    const auto [at, ec] = std::from_chars(text.data(), end, out, std::chars_format::fixed);
+    return ec == std::errc{} && at == end && std::isfinite(out);
+}
+
 std::string base64_encode(std::string_view bytes)
 {
     return absl::Base64Escape(to_absl(bytes));
--- a/source/core/common/text.hpp
+++ b/source/core/common/text.hpp
@@ -28,6 +28,10 @@
     return ec == std::errc{} && at == end && !text.empty();
 }
 
+/// Reads a whole decimal number with or without a fraction; false when the text is anything else,
+/// as a number with an exponent or an infinity.
+bool parse_decimal(std::string_view text, double& out);
+
 /// Base64 with padding.
 std::string base64_encode(std::string_view bytes);
 /// Decodes base64; false when the text is malformed.
--- a/source/core/fleet/configuration.hpp
+++ b/source/core/fleet/configuration.hpp
@@ -102,6 +102,8 @@
     int places_per_rank = 0;
     /// Experts of a set that a rank can hold beyond its places while it copies a new map.
     int spare_places = 0;
+    /// How long a rank takes to copy one expert, in milliseconds; 0 when that is not published.
+    double expert_copy_ms = 0;
 };
 
 struct service
--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -10,6 +10,7 @@
     if (const auto old = m_rows.find(it.id); old != m_rows.end())
         drop_claim(old->second.it);
     m_claims[it.address].emplace(it.revision, it.id);
+    m_notices.entry_written(it.id, it.started_at);
     const auto id = it.id;
     m_rows.insert_or_assign(id, row{std::move(it), std::nullopt});
 }
@@ -46,11 +47,45 @@
     m_rows.erase(it);
 }
 
-bool target_table::is_usable(const row& r, timestamp now) const
+bool target_table::found_leaving(const std::string& id, std::int64_t started_at, timestamp now)
+{
+    return m_notices.note_leaving(id, started_at, now);
+}
+
+bool target_table::found_busy(const std::string& id, std::int64_t started_at, milliseconds time,
+                              timestamp now)
+{
+    return m_notices.note_busy(id, started_at, time, now);
+}
+
+std::optional<timestamp> target_table::all_busy_until(std::string_view service,
+                                                      timestamp now) const
+{
+    std::optional<timestamp> out;
+    for (const auto& [id, r] : m_rows)
+    {
+        if (r.it.service != service || !stays(r, now))
+            continue;
+        const auto until = m_notices.busy_until(id, now);
+        if (!until)
+            return std::nullopt;
+        out = out ? std::min(*out, *until) : *until;
+    }
+    return out;
+}
+
+/// True for a target that is there, holds its address and does not leave.
+bool target_table::stays(const row& r, timestamp now) const
 {
     const auto claims = m_claims.find(r.it.address);
     const bool is_owner = claims != m_claims.end() && claims->second.rbegin()->second == r.it.id;
-    return is_owner && !r.it.is_leaving && (!r.gone_at || now < *r.gone_at);
+    return is_owner && !r.it.is_leaving && !m_notices.is_leaving(r.it.id, now) &&
+           (!r.gone_at || now < *r.gone_at);
+}
+
+bool target_table::is_usable(const row& r, timestamp now) const
+{
+    return stays(r, now) && !m_notices.busy_until(r.it.id, now);
 }
 
 const target* target_table::find_usable(const std::string& id, timestamp now) const
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.hpp"
+#include "fleet/target_notices.hpp"
 
 #include <cstdint>
 #include <map>
@@ -29,6 +30,8 @@
     bool is_leaving = false;
     /// The store's revision of the entry; the higher one of two is the later one.
     std::int64_t revision = 0;
+    /// When this start of the target was, in Unix milliseconds; 0 when it does not say.
+    std::int64_t started_at = 0;
 };
 
 /// The targets that are known, by their entries in the store. Load pattern: entries that lapse
@@ -56,7 +59,20 @@
     /// until it is written again.
     void found_wrong(const std::string& id);
 
-    /// A target that takes new work: neither leaving nor gone, and the last at its address.
+    /// A target has said that it leaves, here or to another gateway. True when that is news.
+    bool found_leaving(const std::string& id, std::int64_t started_at, timestamp now);
+    /// A target wants nothing for some time. True when it wanted some before.
+    bool found_busy(const std::string& id, std::int64_t started_at, milliseconds time,
+                    timestamp now);
+    /// The targets that said that they leave.
+    leaving_targets leaving(timestamp now) const { return m_notices.leaving(now); }
+    /// When the first of a service's targets takes work again, if all that would take some have
+    /// asked to be left alone; none otherwise.
+    std::optional<timestamp> all_busy_until(std::string_view service, timestamp now) const;
+    /// Forgets notices that no longer hold.
+    void prune(timestamp now) { m_notices.prune(now); }
+
+    /// A target that takes new work: neither leaving, busy nor gone, and the last at its address.
     const target* find_usable(const std::string& id, timestamp now) const;
     /// All targets of a service that take new work, in the order of their ids.
     std::vector<const target*> usable(std::string_view service, timestamp now) const;
@@ -70,10 +86,12 @@
         std::optional<timestamp> gone_at;
     };
 
+    bool stays(const row& r, timestamp now) const;
     bool is_usable(const row& r, timestamp now) const;
     void drop_claim(const target& it);
 
     std::map<std::string, row> m_rows;
+    target_notices m_notices;
     /// The targets that claim an address, by the revisions of their entries; the last one has it.
     std::map<std::string, std::set<std::pair<std::int64_t, std::string>>, std::less<>> m_claims;
 };
--- a/source/core/policy/waiting_line.cpp
+++ b/source/core/policy/waiting_line.cpp
@@ -117,4 +117,17 @@
     return out;
 }
 
+std::vector<std::uint64_t> waiting_line::take_hopeless(timestamp back_at)
+{
+    std::vector<std::uint64_t> out;
+    for (const auto& [id, it] : m_calls)
+    {
+        if (it.deadline < back_at)
+            out.push_back(id);
+    }
+    for (const auto id : out)
+        m_calls.erase(id);
+    return out;
+}
+
 } // namespace kumquatgap::policy
--- a/source/core/policy/waiting_line.hpp
+++ b/source/core/policy/waiting_line.hpp
@@ -70,6 +70,8 @@
     void remove(std::uint64_t id) { m_calls.erase(id); }
     /// Calls that have waited too long to be served; they leave the line.
     std::vector<std::uint64_t> take_expired(timestamp now);
+    /// Calls that can only start too late, since none can before `back_at`; they leave the line.
+    std::vector<std::uint64_t> take_hopeless(timestamp back_at);
     /// No call can start for a while, until a group of targets has formed anew; then `places` can
     /// start at once. So many may wait, since the pace of the line tells nothing meanwhile.
     void halt(std::size_t places) { m_halted_places = places; }
--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -80,6 +80,7 @@
 {
     m_last_heard = common::now();
     m_head = m_gateway.names().read_answer(head);
+    m_gateway.target_said(m_plan.target, m_head);
     m_status = head.status;
     m_is_stream = m_plan.expects_stream && head.status == http_ok && !m_head.is_unrun &&
                   !m_head.is_encoded && m_head.request_id == m_plan.request_id;
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -117,6 +117,12 @@
         return end("request_refused", failure.code, common::info(failure.code).http_status);
     }
     m_is_waiting = true;
+    const auto back_at = m_gateway.targets().all_busy_until(m_service, m_arrived);
+    if (back_at && waiting().deadline < *back_at)
+    {
+        m_gateway.service(m_service).line.remove(m_number);
+        return waited_too_long();
+    }
     m_gateway.dispatch(m_service);
 }
 
@@ -351,12 +357,22 @@
 {
     if (m_answer->is_started())
         return fail(result_code::stream_cut, detail);
-    const auto retry_after =
-        m_gateway.service(m_service).line.retry_after(common::now(), m_gateway.draw());
+    const auto retry_after = time_to_come_back();
     m_answer->reply(m_gateway.names().failure_answer({code, detail, retry_after}));
     end("request_refused", code, common::info(code).http_status);
 }
 
+/// When the caller is to come back: no sooner than a target takes calls again.
+milliseconds exchange::time_to_come_back() const
+{
+    const auto now = common::now();
+    const auto by_line = m_gateway.service(m_service).line.retry_after(now, m_gateway.draw());
+    const auto back_at = m_gateway.targets().all_busy_until(m_service, now);
+    if (!back_at)
+        return by_line;
+    return std::chrono::duration_cast<milliseconds>(*back_at - now) + by_line;
+}
+
 /// Ends a call that may have run. A stream that has begun is cut, so that it can't pass as whole.
 void exchange::fail(result_code code, const std::string& detail)
 {
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -61,6 +61,7 @@
     void deadline_passed();
     void fail(common::result_code code, const std::string& detail);
     void refuse(common::result_code code, const std::string& detail);
+    milliseconds time_to_come_back() const;
     void caller_gone();
     void end(std::string_view event, common::result_code code, int status);
     call_summary summary(std::string_view event, common::result_code code, int status,
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -70,11 +70,8 @@
     : m_loop{loop}, m_client{client}, m_store{store}, m_wire{names},
       m_settings{std::move(settings)}, m_follower{loop, store, names, m_settings.common},
       m_loads{loop, m_settings.common.host, m_settings.common.deployment_token,
-              [this](const std::string& peer, const load_exchange::loads& it)
-              {
-                  for (auto& [service, state] : m_services)
-                      state.board.heard(peer, it, common::now());
-              }},
+              [this](const std::string& peer, const load_exchange::news& it)
+              { hear_peer(peer, it); }},
       m_retries{m_settings.retries}, m_ordinary_log{"answered", ordinary_lines_per_second},
       m_failure_log{"refused_or_failed", failure_lines_per_second},
       m_server{loop,
@@ -122,6 +119,32 @@
     return 0;
 }
 
+void gateway::hear_peer(const std::string& peer, const load_exchange::news& it)
+{
+    const auto now = common::now();
+    for (auto& [service, state] : m_services)
+        state.board.heard(peer, it.work, now);
+    for (const auto& [id, started_at] : it.leaving)
+        m_follower.target_leaves(id, started_at, peer);
+}
+
+void gateway::target_said(const fleet::target& it, const target_answer& head)
+{
+    // Whoever answers at the address of another target speaks of itself.
+    if (head.is_other_target)
+        return;
+    if (head.is_leaving)
+    {
+        m_metrics.count("kqg_leaving_answers_total");
+        m_follower.target_leaves(it.id, it.started_at, "answer");
+    }
+    if (head.busy_for)
+    {
+        m_metrics.count("kqg_busy_answers_total");
+        m_follower.target_is_busy(it.id, it.started_at, *head.busy_for);
+    }
+}
+
 bool gateway::is_ready() const
 {
     return !m_shutting_down && m_follower.configuration() != nullptr;
@@ -227,6 +250,7 @@
             if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
                 it->second->waited_too_long();
         }
+        refuse_hopeless(name, state, now);
         follow_halts(name, state, now);
         measure_pace(name, state, now);
         if (!state.line.empty())
@@ -237,12 +261,25 @@
         it->check_time(now);
     m_ordinary_log.report(now);
     m_failure_log.report(now);
-    load_exchange::loads own;
+    load_exchange::news own{{}, targets().leaving(now)};
     for (const auto& [name, state] : m_services)
-        own.insert(state.board.own_loads().begin(), state.board.own_loads().end());
+        own.work.insert(state.board.own_loads().begin(), state.board.own_loads().end());
     m_loads.send(m_follower.peers(), own, now);
 }
 
+/// Calls that would have to start before any target takes work again are refused now.
+void gateway::refuse_hopeless(const std::string& name, service_state& state, timestamp now)
+{
+    const auto back_at = targets().all_busy_until(name, now);
+    if (!back_at)
+        return;
+    for (const auto id : state.line.take_hopeless(*back_at))
+    {
+        if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
+            it->second->waited_too_long();
+    }
+}
+
 /// Tells a line when its service's group is lost or stands still, and when it goes on.
 void gateway::follow_halts(const std::string& name, service_state& state, timestamp now)
 {
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -89,6 +89,8 @@
     policy::retry_share& retries() { return m_retries; }
     const fleet::target_table& targets() const { return m_follower.targets(); }
     void target_found_wrong(const std::string& id) { m_follower.target_found_wrong(id); }
+    /// Takes what a target says of itself in the head of an answer.
+    void target_said(const fleet::target& it, const target_answer& head);
     /// The store's revision of the state that decisions go by.
     kv::revision state_revision() const { return m_follower.as_of(); }
     std::shared_ptr<const fleet::configuration> configuration() const
@@ -112,6 +114,8 @@
 
 private:
     void handle(io::received_request received, io::responder_ptr answer);
+    void hear_peer(const std::string& peer, const load_exchange::news& it);
+    void refuse_hopeless(const std::string& name, service_state& state, timestamp now);
     void write_metrics(timestamp now);
     void handle_admin(const io::received_request& received, io::responder& answer);
     std::string place(const std::string& name, service_state& state, const exchange& it,
--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -33,7 +33,7 @@
     return m_socket.listen(address);
 }
 
-void load_exchange::send(const std::vector<membership::peer>& to, const loads& own,
+void load_exchange::send(const std::vector<membership::peer>& to, const news& own,
                          common::timestamp now)
 {
     const auto passed = now - m_sent_at;
@@ -43,7 +43,9 @@
         return;
     m_last_sent = own;
     m_sent_at = now;
-    const json message = {{"token", m_token}, {"name", m_name}, {"loads", own}};
+    json message = {{"token", m_token}, {"name", m_name}, {"loads", own.work}};
+    if (!own.leaving.empty())
+        message["leaving"] = own.leaving;
     const auto bytes = json::to_cbor(message);
     for (const auto& it : to)
         m_socket.send(it.address, {reinterpret_cast<const char*>(bytes.data()), bytes.size()});
@@ -65,7 +67,8 @@
         {
             const std::string name = message.at("name");
             m_heard_at.insert_or_assign(name, common::now());
-            return m_handler(name, message.at("loads").get<loads>());
+            return m_handler(name, {message.at("loads").get<loads>(),
+                                    message.value("leaving", fleet::leaving_targets{})});
         }
     }
     catch (const json::exception& e)
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -53,7 +53,12 @@
         return false;
     }
     m_tick_timer =
-        m_loop.every(spreading().period, [this] { carry_out(m_spreader.tick(common::now())); });
+        m_loop.every(spreading().period,
+                     [this]
+                     {
+                         m_targets.prune(common::now());
+                         carry_out(m_spreader.tick(common::now()));
+                     });
     carry_out(m_spreader.begin(common::now()));
     register_self();
     return true;
@@ -224,6 +229,30 @@
     m_targets.found_wrong(id);
 }
 
+void state_follower::target_leaves(const std::string& id, std::int64_t started_at,
+                                   std::string_view heard_from)
+{
+    if (!m_targets.found_leaving(id, started_at, common::now()))
+        return;
+    common::log(common::log_level::info, "target_leaves",
+                {{"target", id},
+                 {"started_at", started_at},
+                 {"heard_from", heard_from},
+                 {"code", common::number(common::result_code::target_draining)}});
+    if (m_on_change)
+        m_on_change();
+}
+
+void state_follower::target_is_busy(const std::string& id, std::int64_t started_at,
+                                    common::milliseconds time)
+{
+    if (m_targets.found_busy(id, started_at, time, common::now()))
+        common::log(common::log_level::info, "target_is_busy",
+                    {{"target", id},
+                     {"for_ms", time.count()},
+                     {"code", common::number(common::result_code::target_busy)}});
+}
+
 void state_follower::read_pace(const kv::key_value& it)
 {
     const auto address = it.key.substr(fleet::pace_prefix.size());
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -34,6 +34,10 @@
     const fleet::target_table& targets() const { return m_targets; }
     /// What answers at a target's address says that it is another one.
     void target_found_wrong(const std::string& id);
+    /// A target says in an answer that it leaves, or another gateway has heard that.
+    void target_leaves(const std::string& id, std::int64_t started_at, std::string_view heard_from);
+    /// A target that turned a call away wants nothing for some time.
+    void target_is_busy(const std::string& id, std::int64_t started_at, common::milliseconds time);
     /// How much slower than usual the target at an address is; 1 for not at all.
     double pace_of(const std::string& address) const;
     /// The other gateways.
--- a/source/gateway/wire.hpp
+++ b/source/gateway/wire.hpp
@@ -52,6 +52,11 @@
     bool is_encoded = false;
     /// The member of the target's group that is at fault; empty when there is none.
     std::string fault_target;
+    /// The target takes no new work from now on.
+    bool is_leaving = false;
+    /// For how long a target that turned the request away wants nothing from this gateway; none
+    /// when it does not say.
+    std::optional<milliseconds> busy_for;
 };
 
 /// How callers, targets and operators name things. An implementation decides nothing.
