Plan switches as large as brings the skew down fastest

Sets were improved one after the other, so that the first one used up the copies of all ranks. Change: set_planner rates each change by what a copy of it gains, and the changes of all sets compete; plan_switch follows the skew over 1, 2, ... copies a rank and takes the size with the least skew over time, from the copy time that the operators publish and the overhead that switch_meter measures.

--- a/source/core/fleet/target_notices.cpp
+++ b/source/core/fleet/target_notices.cpp
@@ -7,8 +7,7 @@
 
 bool target_notices::is_leaving(const notice& it, timestamp now)
 {
-    return it.leaves_since &&
-           (it.started_at != 0 || now - *it.leaves_since < unknown_start_kept);
+    return it.leaves_since && (it.started_at != 0 || now - *it.leaves_since < unknown_start_kept);
 }
 
 target_notices::notice& target_notices::notice_of(const std::string& id, std::int64_t started_at)
--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -58,8 +58,7 @@
     return m_notices.note_busy(id, started_at, time, now);
 }
 
-std::optional<timestamp> target_table::all_busy_until(std::string_view service,
-                                                      timestamp now) const
+std::optional<timestamp> target_table::all_busy_until(std::string_view service, timestamp now) const
 {
     std::optional<timestamp> out;
     for (const auto& [id, r] : m_rows)
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -52,13 +52,12 @@
                     {{"address", m_settings.control_address}});
         return false;
     }
-    m_tick_timer =
-        m_loop.every(spreading().period,
-                     [this]
-                     {
-                         m_targets.prune(common::now());
-                         carry_out(m_spreader.tick(common::now()));
-                     });
+    m_tick_timer = m_loop.every(spreading().period,
+                                [this]
+                                {
+                                    m_targets.prune(common::now());
+                                    carry_out(m_spreader.tick(common::now()));
+                                });
     carry_out(m_spreader.begin(common::now()));
     register_self();
     return true;
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -217,6 +217,22 @@
     return m_maps.find(m_epoch, version);
 }
 
+/// True when the choices that are known tell more than chance.
+bool group_controller::knows_enough() const
+{
+    const auto& loads = m_popularity.loads();
+    if (loads.empty() || loads.front().empty())
+        return false;
+    const auto experts =
+        static_cast<double>(loads.size()) * static_cast<double>(loads.front().size());
+    return m_popularity.total() >= experts * m_options.least_choices_per_expert;
+}
+
+double group_controller::copy_ms() const
+{
+    return m_engine->expert_copy_ms > 0 ? m_engine->expert_copy_ms : m_options.copy_ms_if_unknown;
+}
+
 void group_controller::plan(timestamp now)
 {
     m_planned_at = now;
@@ -225,35 +241,40 @@
                  {"ranks_with_map", static_cast<std::int64_t>(m_held.size())},
                  {"ranks", static_cast<std::int64_t>(m_addresses.size())}});
     const auto& loads = m_popularity.loads();
-    if (loads.empty() || loads.front().empty())
-        return;
-    const auto experts =
-        static_cast<double>(loads.size()) * static_cast<double>(loads.front().size());
-    if (m_popularity.total() < experts * m_options.least_choices_per_expert)
-        return;
     const auto from = current_map();
-    if (!from || from->sets.size() != loads.size())
+    if (!knows_enough() || !from || from->sets.size() != loads.size())
         return;
     const experts::plan_limits limits{.places = static_cast<std::size_t>(m_engine->places_per_rank),
                                       .new_per_set =
-                                          static_cast<std::size_t>(m_engine->spare_places)};
+                                          static_cast<std::size_t>(m_engine->spare_places),
+                                      .new_per_rank = m_options.most_copies_per_rank};
+    const experts::switch_times times{.copy_ms = copy_ms(),
+                                      .overhead_ms = m_meter.overhead_ms(),
+                                      .horizon_ms =
+                                          static_cast<double>(m_options.demand_life.count())};
     const auto paces = m_switch.paces();
-    auto to = experts::improve(*from, loads, limits, paces);
-    const auto before = experts::skew(*from, loads, paces);
-    const auto after = experts::skew(to, loads, paces);
-    m_skew_thousandths = thousandths(before);
-    if (before - after < m_options.least_gain)
-        return;
-    const auto map = std::make_shared<const experts::expert_map>(std::move(to));
+    m_skew_thousandths = thousandths(experts::skew(*from, loads, paces));
+    auto next = experts::plan_switch(*from, loads, limits, paces, times);
+    if (next && next->skew_before - next->skew_after >= m_options.least_gain)
+        begin_switch(std::move(*next), *from, now);
+}
+
+void group_controller::begin_switch(experts::planned_switch next, const experts::expert_map& from,
+                                    timestamp now)
+{
+    const auto map = std::make_shared<const experts::expert_map>(std::move(next.map));
     if (!m_switch.propose(map, now))
         return;
-    m_changes = experts::difference(*from, m_switch.version(), *map);
+    m_meter.begun(static_cast<double>(next.copies_per_rank) * copy_ms(), now);
+    m_changes = experts::difference(from, m_switch.version(), *map);
     m_maps.put(m_epoch, current().version, map);
     common::log(common::log_level::info, "map_planned",
                 {{"version", current().version},
                  {"epoch", m_epoch},
-                 {"skew_before_thousandths", thousandths(before)},
-                 {"skew_after_thousandths", thousandths(after)},
+                 {"skew_before_thousandths", thousandths(next.skew_before)},
+                 {"skew_after_thousandths", thousandths(next.skew_after)},
+                 {"copies_per_rank", static_cast<std::int64_t>(next.copies_per_rank)},
+                 {"overhead_ms", std::llround(m_meter.overhead_ms())},
                  {"choices", std::llround(m_popularity.total())},
                  {"rows_changed", static_cast<std::int64_t>(m_changes->rows.size())},
                  {"plan_ms", (common::now() - now).count()}});
@@ -284,7 +305,10 @@
     m_switch.tick(now);
     const bool is_due = now - m_planned_at >= m_options.plan_period;
     if (m_engine && is_due && m_switch.is_at_rest(now))
+    {
+        m_meter.ended(m_switch.version() == current().version, now);
         plan(now);
+    }
     log_phase(now);
 }
 
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -6,6 +6,7 @@
 #include "experts/popularity.hpp"
 #include "experts/relay_tree.hpp"
 #include "experts/switch_controller.hpp"
+#include "experts/switch_meter.hpp"
 #include "fleet/configuration.hpp"
 
 #include <map>
@@ -33,6 +34,12 @@
     double least_gain = 0.12;
     /// Choices by expert, on average, that must be known before a plan is made.
     double least_choices_per_expert = 20;
+    /// Copies of one rank in one switch. Plans of more take too much of an agent's processor.
+    std::size_t most_copies_per_rank = 24;
+    /// How long a demand is expected to hold.
+    milliseconds demand_life{2500};
+    /// The time of a copy where the operators publish none.
+    double copy_ms_if_unknown = 100;
     /// What the host's link carries.
     experts::link_budget link;
     /// The control address of the controller's own agent.
@@ -103,6 +110,9 @@
     std::size_t directive_bytes(const std::vector<experts::rank_number>& ranks) const;
     experts::relay_tree tree(timestamp now) const;
     void plan(timestamp now);
+    bool knows_enough() const;
+    void begin_switch(experts::planned_switch next, const experts::expert_map& from, timestamp now);
+    double copy_ms() const;
     void log_phase(timestamp now);
 
     std::string m_group;
@@ -110,6 +120,7 @@
     experts::switch_controller m_switch;
     experts::directive_pacer m_pacer;
     experts::popularity m_popularity;
+    experts::switch_meter m_meter;
     std::optional<fleet::engine_profile> m_engine;
     std::map<experts::rank_number, std::string> m_addresses;
     std::map<experts::rank_number, std::string> m_targets;
--- a/source/unit_tests/experts/map_planner_test.cpp
+++ b/source/unit_tests/experts/map_planner_test.cpp
@@ -127,3 +127,89 @@
     cr_assert_gt(before, pace / 2);
     cr_assert_lt(skew(map, loads, paces), 1.5);
 }
+
+namespace
+{
+
+/// The sum of skew over time from a shift on, in ms, with switches of that size (0: as planned).
+double area_after_shift(const switch_times& times, std::size_t size, unsigned seed)
+{
+    auto limits_of_plan = limits;
+    limits_of_plan.new_per_rank = size == 0 ? 12 : size;
+    const auto loads = skewed(4, seed);
+    auto map = in_turn(4);
+    double area = 0;
+    for (double passed_ms = 0; passed_ms < times.horizon_ms;)
+    {
+        const auto before = skew(map, loads);
+        const auto next = plan_switch(map, loads, limits_of_plan, {}, times);
+        if (!next)
+            return area + before * (times.horizon_ms - passed_ms);
+        const auto n = static_cast<double>(size == 0 ? next->copies_per_rank : size);
+        const auto ms =
+            std::min(n * times.copy_ms + times.overhead_ms, times.horizon_ms - passed_ms);
+        area += before * ms;
+        passed_ms += ms;
+        map = size == 0 ? next->map : improve(map, loads, limits_of_plan);
+    }
+    return area;
+}
+
+} // namespace
+
+/// Load pattern: a shift of demand, with experts that take long to copy, or hardly any time.
+Test(map_planner, the_size_of_a_switch_is_as_good_as_the_best_fixed_one_at_any_link)
+{
+    for (const double copy_ms : {150.0, 36.0, 7.0, 1.0})
+    {
+        const switch_times times{.copy_ms = copy_ms, .overhead_ms = 150, .horizon_ms = 2500};
+        double planned = 0;
+        std::vector<double> fixed(9, 0);
+        for (unsigned seed = 1; seed <= 10; ++seed)
+        {
+            planned += area_after_shift(times, 0, seed);
+            for (std::size_t size = 1; size < fixed.size(); ++size)
+                fixed[size] += area_after_shift(times, size, seed);
+        }
+        const auto best = *std::ranges::min_element(fixed.begin() + 1, fixed.end());
+        cr_expect_leq(planned, 1.03 * best, "%.0f ms: %.0f, best %.0f", copy_ms, planned, best);
+        // The size that was fixed before.
+        cr_expect_leq(planned, 1.01 * fixed[4], "%.0f ms: %.0f, of four %.0f", copy_ms, planned,
+                      fixed[4]);
+    }
+}
+
+Test(map_planner, a_switch_is_small_where_copies_are_slow)
+{
+    const std::vector<double> skews{2.5, 2.0, 1.7, 1.5, 1.35, 1.25, 1.2};
+    const switch_times slow{.copy_ms = 150, .overhead_ms = 100, .horizon_ms = 2500};
+    const switch_times fast{.copy_ms = 5, .overhead_ms = 150, .horizon_ms = 2500};
+    cr_assert_leq(best_switch_size(skews, slow), 2);
+    cr_assert_geq(best_switch_size(skews, fast), 5);
+}
+
+Test(map_planner, a_plan_makes_no_more_copies_than_it_says)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed)
+    {
+        const auto loads = skewed(4, seed);
+        const auto map = in_turn(4);
+        auto limits_of_plan = limits;
+        limits_of_plan.new_per_rank = 12;
+        const auto next = plan_switch(map, loads, limits_of_plan, {},
+                                      {.copy_ms = 20, .overhead_ms = 150, .horizon_ms = 2500});
+        cr_assert(next);
+        check_limits(map, next->map);
+        for (std::size_t r = 0; r < ranks; ++r)
+        {
+            std::ptrdiff_t copies = 0;
+            for (std::size_t s = 0; s < map.sets.size(); ++s)
+                copies += std::ranges::count_if(
+                    next->map.sets[s][r], [&](int e)
+                    { return std::ranges::find(map.sets[s][r], e) == map.sets[s][r].end(); });
+            cr_assert_leq(static_cast<std::size_t>(copies), next->copies_per_rank);
+        }
+        cr_assert_float_eq(next->skew_after, skew(next->map, loads), 1e-9);
+        cr_assert_float_eq(next->skew_before, skew(map, loads), 1e-9);
+    }
+}
