Notice when the demand changes, and plan from the choices since then

Cause: choices lost half of their weight in 300 ms, so that the first plan after a shift went by counts that were half old (skew 1.4 to 1.7 seen, 2.3 to 2.8 real), and came 0.25 to 0.35 s late, as choices were told each 150 ms. Change: popularity compares the choices of the last 100 ms with those before; when they differ by more than 2.5 times the usual and by 0.15 at least, the earlier ones are dropped. The time between changes is learnt and is the horizon of a plan. Choices are told each 50 ms where the link allows it.

--- a/source/core/experts/relay_tree.cpp
+++ b/source/core/experts/relay_tree.cpp
@@ -44,7 +44,7 @@
 {
     relay_tree out;
     out.size = static_cast<int>(is_live.size());
-    if (time_ms(out.size, message_bytes, link) > static_cast<double>(choices_period.count()))
+    if (time_ms(out.size, message_bytes, link) > static_cast<double>(longest_flat_round.count()))
         out.block_size = static_cast<int>(std::ceil(std::sqrt(out.size)));
     const int blocks = (out.size + out.block_size - 1) / out.block_size;
     for (int b = 0; b < blocks; ++b)
--- a/source/core/experts/relay_tree.hpp
+++ b/source/core/experts/relay_tree.hpp
@@ -25,8 +25,10 @@
     double relayed() const { return bytes_per_s * relayed_part; }
 };
 
-/// How often a rank's choices are told while the link allows it.
-inline constexpr milliseconds choices_period{150};
+/// How often a rank's choices are told while the link allows it: about once a pass.
+inline constexpr milliseconds choices_period{50};
+/// A group whose links take longer than this for the choices of all its ranks is divided.
+inline constexpr milliseconds longest_flat_round{150};
 
 /// The ranks of a group in blocks of consecutive numbers. One rank of each block passes messages of
 /// the controller on to its block, and sums what the block's ranks tell. With blocks of one rank
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -30,7 +30,7 @@
 group_controller::group_controller(std::string group, experts::fencing_token token,
                                    controller_options options)
     : m_group{std::move(group)}, m_options{std::move(options)}, m_switch{token, {}},
-      m_pacer{{.bytes_per_s = m_options.link.directives()}}, m_popularity{m_options.half_life}
+      m_pacer{{.bytes_per_s = m_options.link.directives()}}
 {
 }
 
@@ -251,7 +251,7 @@
     const experts::switch_times times{.copy_ms = copy_ms(),
                                       .overhead_ms = m_meter.overhead_ms(),
                                       .horizon_ms =
-                                          static_cast<double>(m_options.demand_life.count())};
+                                          static_cast<double>(m_popularity.life(now).count())};
     const auto paces = m_switch.paces();
     m_skew_thousandths = thousandths(experts::skew(*from, loads, paces));
     auto next = experts::plan_switch(*from, loads, limits, paces, times);
@@ -275,6 +275,8 @@
                  {"skew_after_thousandths", thousandths(next.skew_after)},
                  {"copies_per_rank", static_cast<std::int64_t>(next.copies_per_rank)},
                  {"overhead_ms", std::llround(m_meter.overhead_ms())},
+                 {"demand_changes", m_popularity.changes()},
+                 {"demand_life_ms", m_popularity.life(now).count()},
                  {"choices", std::llround(m_popularity.total())},
                  {"rows_changed", static_cast<std::int64_t>(m_changes->rows.size())},
                  {"plan_ms", (common::now() - now).count()}});
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -26,8 +26,6 @@
 {
     /// In a switch agents report every few ten ms; one that is silent for this long is replaced.
     milliseconds agent_silence{250};
-    /// Choices lose half of their weight in this time.
-    milliseconds half_life{300};
     /// A plan is made at most this often.
     milliseconds plan_period{150};
     /// A switch must bring the skew down by this much.
@@ -36,8 +34,6 @@
     double least_choices_per_expert = 20;
     /// Copies of one rank in one switch. Plans of more take too much of an agent's processor.
     std::size_t most_copies_per_rank = 24;
-    /// How long a demand is expected to hold.
-    milliseconds demand_life{2500};
     /// The time of a copy where the operators publish none.
     double copy_ms_if_unknown = 100;
     /// What the host's link carries.
