Fence off orders without an answer as soon as they have become pointless

Besides, a lost order was noticed after 80 ms while the group was held, and switches were placed two passes ahead, where arming takes 30 ms and a pass 60 to 120. Change: rank_driver fences off such orders at once; order_timer takes the time-out from the answers before (12 to 80 ms); the controller places a switch as many passes ahead as arming has taken of late.

--- a/source/core/experts/rank_driver.cpp
+++ b/source/core/experts/rank_driver.cpp
@@ -94,9 +94,11 @@
             return std::nullopt;
         return order(order_kind::prepare);
     case switch_phase::hold:
-        if (r.rank != d.holder || r.held || r.pass >= d.pass)
+        if (r.rank != d.holder)
             return std::nullopt;
-        return order(order_kind::hold);
+        // A hold that got no answer must not come later, neither once it is seen to be in force nor
+        // once its pass has begun.
+        return r.held || r.pass >= d.pass ? fence_order(now) : order(order_kind::hold);
     case switch_phase::arm:
         if (r.armed == wanted || r.version == d.version)
             return std::nullopt;
@@ -107,8 +109,9 @@
         return disarm_order(now);
     case switch_phase::release:
     {
+        // Nor may a release, of which the next hold could be the victim.
         if (!r.held)
-            return std::nullopt;
+            return fence_order(now);
         auto out = order(order_kind::release);
         out.pass = *r.held;
         return out;
--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -16,8 +16,10 @@
         // A new epoch starts with map 0 and without anything prepared, armed or held.
         m_ranks.clear();
         m_epoch = r.epoch;
+        m_foremost = 0;
         abandon(now);
     }
+    note_pass(r.pass, now);
     m_highest_version = std::max({m_highest_version, r.version, r.prepared});
     const auto known = m_ranks.find(r.rank);
     const bool is_new_agent = known == m_ranks.end() || known->second.status.agent != s.agent;
@@ -181,11 +183,41 @@
             abandon(now);
         return;
     }
-    m_lead_passes = m_options.lead_passes;
+    m_lead_passes = first_lead_passes();
     m_directive.holder = m_ranks.begin()->first;
     place_switch(now);
 }
 
+/// As many passes as arming takes, so that the group need not stand for it, and no more, since the
+/// old map is in force meanwhile.
+pass_number switch_controller::first_lead_passes() const
+{
+    const auto passes = static_cast<pass_number>(m_arming_ms / m_pass_ms);
+    return std::clamp(m_options.lead_passes + passes, m_options.lead_passes,
+                      m_options.most_first_lead_passes);
+}
+
+void switch_controller::note_pass(pass_number pass, timestamp now)
+{
+    if (pass <= m_foremost)
+        return;
+    const auto passed = now - m_foremost_at;
+    if (m_foremost != 0 && passed < m_options.longest_pass)
+        m_pass_ms += m_options.shorter_weight *
+                     (static_cast<double>(passed.count()) / static_cast<double>(pass - m_foremost) -
+                      m_pass_ms);
+    m_foremost = pass;
+    m_foremost_at = now;
+}
+
+/// Takes in how long it took from the asking for a hold until all ranks were armed.
+void switch_controller::note_arming(timestamp now)
+{
+    const auto difference = static_cast<double>((now - m_placed_at).count()) - m_arming_ms;
+    m_arming_ms +=
+        (difference > 0 ? m_options.longer_weight : m_options.shorter_weight) * difference;
+}
+
 /// Asks for a hold some passes ahead of the foremost rank.
 void switch_controller::place_switch(timestamp now)
 {
@@ -193,6 +225,7 @@
     for (const auto& [rank, it] : m_ranks)
         foremost = std::max(foremost, it.status.report.pass);
     m_directive.pass = foremost + m_lead_passes;
+    m_placed_at = now;
     enter(switch_phase::hold, now);
 }
 
@@ -260,7 +293,10 @@
                 [this](const rank_status& s) {
                     return s.report.armed == armed_switch{m_directive.version, m_directive.pass};
                 }))
+        {
+            note_arming(now);
             return enter(switch_phase::release, now);
+        }
         if (passed > m_options.longest_arm)
             enter(switch_phase::fence_holder, now);
         return;
--- a/source/core/experts/switch_controller.hpp
+++ b/source/core/experts/switch_controller.hpp
@@ -16,10 +16,21 @@
 {
     /// A rank's status counts for this long.
     milliseconds status_lifetime{1500};
-    /// How many passes ahead of the foremost rank a switch is placed.
-    pass_number lead_passes = 2;
+    /// How many passes ahead of the foremost rank a switch is placed at least.
+    pass_number lead_passes = 1;
+    /// And at most when it is placed first, however long arming takes.
+    pass_number most_first_lead_passes = 4;
     /// A hold that came too late is placed again, each time twice as far ahead, up to this.
     pass_number most_lead_passes = 16;
+    /// What arming and a pass take until they were measured, in milliseconds.
+    double arming_at_start_ms = 30;
+    double pass_at_start_ms = 60;
+    /// How fast the measured times follow: arming soon when it takes longer, since the group stands
+    /// for what was not foreseen, and slowly when it takes less.
+    double longer_weight = 0.5;
+    double shorter_weight = 0.1;
+    /// Passes with more time between them are those of an idle group.
+    milliseconds longest_pass{400};
     /// A phase that takes longer than this is given up.
     milliseconds longest_prepare{6000};
     milliseconds longest_hold{1500};
@@ -41,7 +52,8 @@
 {
 public:
     switch_controller(fencing_token token, switch_options options)
-        : m_options{options}, m_directive{.token = token}
+        : m_options{options}, m_directive{.token = token},
+          m_arming_ms{options.arming_at_start_ms}, m_pass_ms{options.pass_at_start_ms}
     {
     }
 
@@ -66,6 +78,8 @@
     std::int64_t epoch() const { return m_epoch; }
     /// How much slower than usual each rank is.
     rank_paces paces() const;
+    /// What a pass takes of late.
+    double pass_ms() const { return m_pass_ms; }
     std::size_t known_ranks(timestamp now) const;
     /// Ranks of which nothing was heard for some time.
     std::vector<rank_number> silent_ranks(timestamp now, milliseconds silence) const;
@@ -87,6 +101,9 @@
     void tick_prepare(timestamp now);
     void tick_hold(timestamp now);
     void place_switch(timestamp now);
+    pass_number first_lead_passes() const;
+    void note_pass(pass_number pass, timestamp now);
+    void note_arming(timestamp now);
     void tick_fence_holder(timestamp now);
     void tick_release(timestamp now);
 
@@ -96,8 +113,13 @@
     std::int64_t m_epoch = 0;
     map_version m_highest_version = 0;
     timestamp m_phase_since;
-    /// How far ahead the current switch is placed.
+    /// How far ahead the current switch is placed, and when.
     pass_number m_lead_passes = 0;
+    timestamp m_placed_at;
+    double m_arming_ms;
+    double m_pass_ms;
+    pass_number m_foremost = 0;
+    timestamp m_foremost_at;
 };
 
 } // namespace kumquatgap::experts
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -26,9 +26,6 @@
 constexpr milliseconds store_calls_line_period{30'000};
 /// How often the operators' configuration is read until it names the group's engines.
 constexpr milliseconds engine_period{1000};
-/// An order without an answer for this long is taken as unknown; ranks on the same host answer in
-/// a few milliseconds.
-constexpr milliseconds order_timeout{80};
 /// A controller that is told to stop ends its switch first, for up to this long.
 constexpr milliseconds longest_shutdown{3000};
 
@@ -284,25 +281,32 @@
                  {"version", order->version},
                  {"pass", order->pass},
                  {"epoch", order->epoch},
-                 {"fence", order->fence}});
-    m_order_call = m_client.send(
-        m_settings.target, m_wire.order_request(*order),
-        {.on_end =
-             [this, kind = order->kind](io::call_end how, const io::http_answer& answer)
-         {
-             const auto call = std::move(m_order_call);
-             const auto ended = how == io::call_end::complete        ? m_wire.read_order_end(answer)
-                                : how == io::call_end::not_connected ? experts::order_end::conflict
-                                                                     : experts::order_end::unknown;
-             if (ended != experts::order_end::accepted)
-                 common::log(common::log_level::info, "order_not_accepted",
-                             {{"order", experts::name_of(kind)},
-                              {"status", answer.status},
-                              {"end", static_cast<int>(ended)}});
-             m_driver.order_ended(ended, common::now());
-             read_report();
-         }},
-        to_rank(order_timeout));
+                 {"fence", order->fence},
+                 {"timeout_ms", m_order_timer.timeout().count()}});
+    m_order_call = m_client.send(m_settings.target, m_wire.order_request(*order),
+                                 {.on_end =
+                                      [this, kind = order->kind, sent = common::now()](
+                                          io::call_end how, const io::http_answer& answer)
+                                  {
+                                      const auto call = std::move(m_order_call);
+                                      if (how == io::call_end::complete)
+                                          m_order_timer.answered(common::now() - sent);
+                                      else
+                                          m_order_timer.lost();
+                                      const auto ended = how == io::call_end::complete
+                                                             ? m_wire.read_order_end(answer)
+                                                         : how == io::call_end::not_connected
+                                                             ? experts::order_end::conflict
+                                                             : experts::order_end::unknown;
+                                      if (ended != experts::order_end::accepted)
+                                          common::log(common::log_level::info, "order_not_accepted",
+                                                      {{"order", experts::name_of(kind)},
+                                                       {"status", answer.status},
+                                                       {"end", static_cast<int>(ended)}});
+                                      m_driver.order_ended(ended, common::now());
+                                      read_report();
+                                  }},
+                                 to_rank(m_order_timer.timeout()));
 }
 
 void rank_agent::read_held()
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -3,6 +3,7 @@
 #include "common/metrics.hpp"
 #include "experts/agent_message.hpp"
 #include "experts/group_view.hpp"
+#include "experts/order_timer.hpp"
 #include "experts/rank_driver.hpp"
 #include "io/event_loop.hpp"
 #include "io/http_client.hpp"
@@ -92,6 +93,7 @@
     const rank_wire& m_wire;
     rank_agent_settings m_settings;
     experts::rank_driver m_driver;
+    experts::order_timer m_order_timer;
     /// The rank's group; empty before its first report.
     std::string m_group;
     experts::group_view m_view;
