Take up the lead of an earlier run at once, and tell a new leader the map

Change: a key that names the process's own address is replaced under its revision; agents that know no map tell a new leader what their rank holds. Besides, the known red of rank_agents_test is traced: the stand-in drew a popularity for which the map in force was good enough (463 of 20,000 draws in a replay of its figures), so that no new map was due. It now draws until the map in force has a skew of 1.5; the check and its bound are as they were. The new test take_up_the_lead_that_an_earlier_run_left was written after the change.

--- a/source/rank_agent/leadership.cpp
+++ b/source/rank_agent/leadership.cpp
@@ -102,31 +102,35 @@
                             if (!answer)
                                 return;
                             if (!answer.value())
-                                return campaign();
+                                return campaign(0);
+                            // The leader was an earlier run of this process, or this one, whose
+                            // answer was lost. It leads no more, so its lease need not run out.
+                            if (answer.value()->value == m_address)
+                                return campaign(answer.value()->modified);
                             m_view.store_named(answer.value()->value);
                         });
 }
 
-void leadership::campaign()
+void leadership::campaign(kv::revision replaced)
 {
     m_is_asking = true;
     m_view.forget_leader();
     const auto asked_at = common::now();
     m_store.grant_lease(lease_ttl,
-                        [this, asked_at](const auto& answer)
+                        [this, asked_at, replaced](const auto& answer)
                         {
                             m_is_asking = false;
                             if (answer)
-                                create_key(answer.value(), asked_at);
+                                write_key(answer.value(), asked_at, replaced);
                         });
 }
 
-void leadership::create_key(kv::lease_id lease, timestamp asked_at)
+void leadership::write_key(kv::lease_id lease, timestamp asked_at, kv::revision replaced)
 {
     m_is_asking = true;
     m_boot_offset_ms = boot_offset_ms();
     m_store.write(
-        {{{{m_key, 0}}, {{m_key, m_address, lease}}}},
+        {{{{m_key, replaced}}, {{m_key, m_address, lease}}}},
         [this, lease, asked_at](const auto& answer)
         {
             m_is_asking = false;
--- a/source/rank_agent/leadership.hpp
+++ b/source/rank_agent/leadership.hpp
@@ -32,8 +32,9 @@
 private:
     void step();
     void look();
-    void campaign();
-    void create_key(kv::lease_id lease, common::timestamp asked_at);
+    /// Takes the lead if the key still has this revision; 0: if there is none.
+    void campaign(kv::revision replaced);
+    void write_key(kv::lease_id lease, common::timestamp asked_at, kv::revision replaced);
     void renew();
     void lost(std::string_view why);
 
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -263,6 +263,9 @@
                          experts::differ(status, m_told_status);
     if (!is_news && now - m_status_told < period)
         return;
+    // A controller that starts anew with the whole group knows no map before the ranks tell it.
+    if (leader != m_told_leader && known_map == experts::map_archive::unknown)
+        tell_held();
     m_told_leader = leader;
     m_told_status = status;
     m_told_known_map = known_map;
@@ -325,6 +328,9 @@
                                          m_held = std::move(*held);
                                          m_held_epoch = m_driver.report().epoch;
                                          note_first_map();
+                                         if (m_maps.known(m_held_epoch, m_held.version) ==
+                                             experts::map_archive::unknown)
+                                             tell_held();
                                      }
                                  }},
                                 to_rank(rank_timeout));
--- a/tests/platform/rank_agents_test.cpp
+++ b/tests/platform/rank_agents_test.cpp
@@ -245,6 +245,23 @@
     site.check_whole();
 }
 
+/// All agents were killed at once: the lead of an earlier run of one of them ends late or, with a
+/// store that keeps leases, not at all.
+Test(rank_agents, take_up_the_lead_that_an_earlier_run_left)
+{
+    agents_site site;
+    cr_assert(site.gets_new_map());
+    const auto leader = site.leader();
+    cr_assert_lt(leader, ranks);
+    for (auto& it : site.agents)
+        it->kill();
+    site.store.put(std::string{lease_key}, site.addresses[leader]);
+    for (std::size_t i = 0; i < ranks; ++i)
+        site.start(i);
+    cr_assert(site.gets_new_map());
+    site.check_whole();
+}
+
 Test(rank_agents, tell_of_a_slow_rank_while_it_is_slow)
 {
     agents_site site;
--- a/tests/stand_ins/rank_group.cpp
+++ b/tests/stand_ins/rank_group.cpp
@@ -1,5 +1,7 @@
 #include "rank_group.hpp"
 
+#include "experts/expert_map.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -85,10 +87,19 @@
 
 void rank_group::shift_popularity()
 {
+    // The ranks hold half of all experts each, so that one draw in forty suits the map in force.
+    constexpr double bad_skew = 1.5;
+    constexpr int most_draws = 1000;
     m_popularity.clear();
     for (int e = 0; e < experts; ++e)
         m_popularity.push_back(1.0 / (1 + e));
-    std::ranges::shuffle(m_popularity, m_random);
+    for (int i = 0; i < most_draws; ++i)
+    {
+        std::ranges::shuffle(m_popularity, m_random);
+        if (skew() >= bad_skew)
+            return;
+    }
+    throw std::runtime_error{"no popularity is bad for the map in force"};
 }
 
 void rank_group::begin_pass()
@@ -145,24 +156,39 @@
     return out.dump();
 }
 
-std::string rank_group::picked(const rank& it, bool wants_lists) const
+/// The experts of a rank in an order of its own.
+std::vector<int> rank_group::held(const rank& it) const
 {
     const auto& r = it.engine.state;
-    if (!wants_lists)
-        return json{{"step", r.pass}, {"epoch", r.epoch}, {"counts", it.counts}}.dump();
+    std::vector<int> out;
     // Map 0 assigns the experts in turn.
-    std::vector<int> held;
     if (it.map.empty())
     {
         for (int e = r.rank; e < experts; e += r.size)
-            held.push_back(e);
+            out.push_back(e);
     }
     else
-        held =
+        out =
             json::parse(it.map).at(0).at(static_cast<std::size_t>(r.rank)).get<std::vector<int>>();
-    // A rank lists its experts in an order of its own.
-    std::ranges::sort(held);
-    return json{{"map", {{"version", r.version}, {"experts", {held}}}}}.dump();
+    std::ranges::sort(out);
+    return out;
+}
+
+/// How uneven the map in force is for the present popularity.
+double rank_group::skew() const
+{
+    ::kumquatgap::experts::expert_set_map set;
+    std::ranges::transform(m_ranks, std::back_inserter(set),
+                           [this](const auto& it) { return held(*it); });
+    return ::kumquatgap::experts::skew({{set}}, {m_popularity});
+}
+
+std::string rank_group::picked(const rank& it, bool wants_lists) const
+{
+    const auto& r = it.engine.state;
+    if (!wants_lists)
+        return json{{"step", r.pass}, {"epoch", r.epoch}, {"counts", it.counts}}.dump();
+    return json{{"map", {{"version", r.version}, {"experts", {held(it)}}}}}.dump();
 }
 
 order_end rank_group::carry_out(rank& it, const experts::rank_order& order, const std::string& map)
--- a/tests/stand_ins/rank_group.hpp
+++ b/tests/stand_ins/rank_group.hpp
@@ -45,7 +45,7 @@
     int broken_passes() const { return m_broken_passes; }
     /// How long the group has stood before the pass that it is to begin next.
     common::milliseconds standing() const { return common::now() - m_last_pass_at; }
-    /// Draws anew which experts are chosen often.
+    /// Draws anew which experts are chosen often, so that the map in force is a bad one for them.
     void shift_popularity();
     void set_mood(order_mood mood) { m_mood = mood; }
     void set_pace(std::size_t rank, double pace) { m_ranks.at(rank)->engine.state.pace = pace; }
@@ -70,6 +70,8 @@
                                  const std::string& map);
     std::string report(const rank& it) const;
     std::string picked(const rank& it, bool wants_lists) const;
+    std::vector<int> held(const rank& it) const;
+    double skew() const;
     void begin_pass();
 
     io::event_loop& m_loop;
