Read who leads anew when an old answer has led nowhere

Change: the first look takes an old answer, each further one without a beacon in between a fresh one; a campaign that met another key looks at once. Tried and not kept: leading on past the lease while the store is away and the leader's beacons are heard.

--- a/source/rank_agent/leadership.cpp
+++ b/source/rank_agent/leadership.cpp
@@ -4,6 +4,7 @@
 #include "common/log.hpp"
 
 #include <ctime>
+#include <utility>
 
 namespace kumquatgap::rank_agent
 {
@@ -83,7 +84,10 @@
 {
     if (m_token != 0 && !token(common::now()))
         lost("the lease may have ended");
-    if (m_is_asking || (m_token == 0 && !m_view.is_silent(common::now(), m_spread)))
+    const bool is_silent = m_view.is_silent(common::now(), m_spread);
+    if (!is_silent)
+        m_doubts_old_reads = false;
+    if (m_is_asking || (m_token == 0 && !is_silent))
         return;
     m_is_asking = true;
     if (m_token != 0)
@@ -92,23 +96,32 @@
         look();
 }
 
+/// Reads who leads. An old answer costs little once: a campaign that fails, or a moment in which a
+/// leader is told that has gone. The next one may be as old, so it is not asked for.
 void leadership::look()
 {
-    // An old answer costs a campaign that fails, or a second in which the old leader is told.
-    m_store.get_any_age(m_key,
-                        [this](const auto& answer)
-                        {
-                            m_is_asking = false;
-                            if (!answer)
-                                return;
-                            if (!answer.value())
-                                return campaign(0);
-                            // The leader was an earlier run of this process, or this one, whose
-                            // answer was lost. It leads no more, so its lease need not run out.
-                            if (answer.value()->value == m_address)
-                                return campaign(answer.value()->modified);
-                            m_view.store_named(answer.value()->value);
-                        });
+    m_is_asking = true;
+    const auto done = [this](const common::result<std::optional<kv::key_value>>& answer)
+    {
+        m_is_asking = false;
+        if (answer)
+            leader_read(answer.value());
+    };
+    if (std::exchange(m_doubts_old_reads, true))
+        m_store.get(m_key, done);
+    else
+        m_store.get_any_age(m_key, done);
+}
+
+void leadership::leader_read(const std::optional<kv::key_value>& it)
+{
+    if (!it)
+        return campaign(0);
+    // The leader was an earlier run of this process, or this one, whose answer was lost. It leads
+    // no more, so its lease need not run out.
+    if (it->value == m_address)
+        return campaign(it->modified);
+    m_view.store_named(it->value);
 }
 
 void leadership::campaign(kv::revision replaced)
@@ -134,8 +147,10 @@
         [this, lease, asked_at](const auto& answer)
         {
             m_is_asking = false;
-            if (!answer || !answer.value().front().applied)
+            if (!answer)
                 return;
+            if (!answer.value().front().applied)
+                return look();
             m_lease = lease;
             m_token = answer.value().front().as_of;
             m_valid_until = asked_at + lease_ttl - lease_margin;
--- a/source/rank_agent/leadership.hpp
+++ b/source/rank_agent/leadership.hpp
@@ -32,6 +32,7 @@
 private:
     void step();
     void look();
+    void leader_read(const std::optional<kv::key_value>& it);
     /// Takes the lead if the key still has this revision; 0: if there is none.
     void campaign(kv::revision replaced);
     void write_key(kv::lease_id lease, common::timestamp asked_at, kv::revision replaced);
@@ -51,6 +52,8 @@
     common::timestamp m_valid_until;
     std::int64_t m_boot_offset_ms = 0;
     bool m_is_asking = false;
+    /// The last answer may have been old, and nothing was heard of a leader since.
+    bool m_doubts_old_reads = false;
     io::timer_handle m_timer;
 };
 
--- a/tests/platform/rank_agents_test.cpp
+++ b/tests/platform/rank_agents_test.cpp
@@ -262,6 +262,23 @@
     site.check_whole();
 }
 
+/// The store's old reads are seconds behind, and name a leader that has gone for good.
+Test(rank_agents, do_not_wait_for_old_reads_to_name_a_new_leader)
+{
+    agents_site site;
+    cr_assert(site.gets_new_map());
+    const auto leader = site.leader();
+    cr_assert_lt(leader, ranks);
+    site.store.freeze_old_reads();
+    for (auto& it : site.agents)
+        it->kill();
+    site.store.remove(std::string{lease_key});
+    for (std::size_t i = 0; i < ranks; ++i)
+        site.start(i);
+    cr_assert(site.gets_new_map());
+    site.check_whole();
+}
+
 Test(rank_agents, tell_of_a_slow_rank_while_it_is_slow)
 {
     agents_site site;
--- a/tests/stand_ins/platform_store.cpp
+++ b/tests/stand_ins/platform_store.cpp
@@ -131,9 +131,11 @@
     if (request.path == "/-/kv-key")
     {
         const auto key = io::query_parameter(request.query, "key");
-        const auto it = m_items.find(key);
-        return it == m_items.end() ? reply(*answer, 404)
-                                   : reply(*answer, 200, to_json(key, it->second));
+        const bool takes_old = io::query_parameter(request.query, "serializable") == "1";
+        const auto& items = takes_old && m_old_items ? *m_old_items : m_items;
+        const auto it = items.find(key);
+        return it == items.end() ? reply(*answer, 404)
+                                 : reply(*answer, 200, to_json(key, it->second));
     }
     if (request.path == "/-/kv-range")
     {
--- a/tests/stand_ins/platform_store.hpp
+++ b/tests/stand_ins/platform_store.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
         return it == m_items.end() ? "" : it->second.value;
     }
     void set_mood(store_mood mood);
+    /// From now on, calls that take an old answer get what the keys are now, for good.
+    void freeze_old_reads() { m_old_items = m_items; }
     /// Drops the history, so that watches have to list anew.
     void compact();
     std::int64_t revision() const { return m_revision; }
@@ -86,6 +89,8 @@
     std::string m_address;
     io::http_server m_server;
     std::map<std::string, item> m_items;
+    /// What old reads get; they are up to date while there is none.
+    std::optional<std::map<std::string, item>> m_old_items;
     std::deque<event> m_history;
     std::list<waiting_watch> m_watches;
     std::int64_t m_revision = 1;
