Plan at once after a change of demand, and not while one may be under way

Cause: a plan that fell into the first 100 ms of a shift mixed both demands (skew 1.39 planned, 2.4 real) and held up the next one by 0.45 s; the plan after a change that was noticed waited for the period of 150 ms, and so did the first one of all. Change: is_plan_due of the controller; popularity::may_be_changing.

--- a/source/core/experts/popularity.cpp
+++ b/source/core/experts/popularity.cpp
@@ -94,18 +94,35 @@
                                                   static_cast<double>(loads.front().size());
 }
 
-/// Compares the newest choices with those before them.
-void popularity::close_window(timestamp now)
+/// How much the newest choices differ from those before them; none when either are too few.
+std::optional<double> popularity::difference_of_window() const
 {
+    if (!is_enough(m_window))
+        return std::nullopt;
     const auto before = without(m_loads, m_window);
-    if (is_enough(m_window) && is_enough(before))
+    return is_enough(before) ? std::optional{difference_of(m_window, before)} : std::nullopt;
+}
+
+bool popularity::is_change(double difference) const
+{
+    return difference > std::max(m_options.least_difference,
+                                 m_options.times_usual_difference * m_usual_difference);
+}
+
+bool popularity::may_be_changing() const
+{
+    const auto difference = difference_of_window();
+    return difference && is_change(*difference);
+}
+
+void popularity::close_window(timestamp now)
+{
+    if (const auto difference = difference_of_window())
     {
-        const auto difference = difference_of(m_window, before);
-        if (difference > std::max(m_options.least_difference,
-                                  m_options.times_usual_difference * m_usual_difference))
+        if (is_change(*difference))
             demand_changed(now);
         else
-            m_usual_difference += m_options.difference_weight * (difference - m_usual_difference);
+            m_usual_difference += m_options.difference_weight * (*difference - m_usual_difference);
     }
     m_window.clear();
     m_window_began = now;
--- a/source/core/experts/popularity.hpp
+++ b/source/core/experts/popularity.hpp
@@ -4,6 +4,7 @@
 #include "experts/expert_map.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace kumquatgap::experts
@@ -57,10 +58,15 @@
     milliseconds life(timestamp now) const;
     /// How often the demand has changed.
     int changes() const { return m_changes; }
+    /// True when the newest choices already differ as after a change, though not enough time has
+    /// passed to tell. A plan of this moment would mix two demands.
+    bool may_be_changing() const;
 
 private:
     void age(timestamp now);
     void close_window(timestamp now);
+    std::optional<double> difference_of_window() const;
+    bool is_change(double difference) const;
     bool is_enough(const expert_loads& loads) const;
     void demand_changed(timestamp now);
 
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -228,6 +228,14 @@
     return m_popularity.total() >= experts * m_options.least_choices_per_expert;
 }
 
+/// A change of demand is answered at once, and what may be one is waited for.
+bool group_controller::is_plan_due(timestamp now) const
+{
+    const bool has_changed = m_popularity.changes() != m_planned_changes;
+    const bool is_time = now - m_planned_at >= m_options.plan_period;
+    return (has_changed || is_time) && knows_enough() && !m_popularity.may_be_changing();
+}
+
 double group_controller::copy_ms() const
 {
     return m_engine->expert_copy_ms > 0 ? m_engine->expert_copy_ms : m_options.copy_ms_if_unknown;
@@ -236,13 +244,14 @@
 void group_controller::plan(timestamp now)
 {
     m_planned_at = now;
+    m_planned_changes = m_popularity.changes();
     common::log(common::log_level::debug, "plan_considered",
                 {{"choices", std::llround(m_popularity.total())},
                  {"ranks_with_map", static_cast<std::int64_t>(m_held.size())},
                  {"ranks", static_cast<std::int64_t>(m_addresses.size())}});
     const auto& loads = m_popularity.loads();
     const auto from = current_map();
-    if (!knows_enough() || !from || from->sets.size() != loads.size())
+    if (!from || from->sets.size() != loads.size())
         return;
     const experts::plan_limits limits{.places = static_cast<std::size_t>(m_engine->places_per_rank),
                                       .new_per_set =
@@ -305,11 +314,11 @@
 void group_controller::tick(timestamp now)
 {
     m_switch.tick(now);
-    const bool is_due = now - m_planned_at >= m_options.plan_period;
-    if (m_engine && is_due && m_switch.is_at_rest(now))
+    if (m_engine && m_switch.is_at_rest(now))
     {
         m_meter.ended(m_switch.version() == current().version, now);
-        plan(now);
+        if (is_plan_due(now))
+            plan(now);
     }
     log_phase(now);
 }
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -107,6 +107,7 @@
     experts::relay_tree tree(timestamp now) const;
     void plan(timestamp now);
     bool knows_enough() const;
+    bool is_plan_due(timestamp now) const;
     void begin_switch(experts::planned_switch next, const experts::expert_map& from, timestamp now);
     double copy_ms() const;
     void log_phase(timestamp now);
@@ -133,6 +134,8 @@
     timestamp m_beacon_at;
     std::int64_t m_skew_thousandths = 0;
     timestamp m_planned_at;
+    /// The changes of demand that the last plan knew of.
+    int m_planned_changes = 0;
     timestamp m_phase_began;
     experts::switch_phase m_logged_phase = experts::switch_phase::rest;
     std::int64_t m_epoch = 0;
--- a/source/unit_tests/experts/popularity_test.cpp
+++ b/source/unit_tests/experts/popularity_test.cpp
@@ -83,6 +83,28 @@
     cr_assert_leq(std::abs(it.life(now).count() - 3500), 600);
 }
 
+/// Load pattern: a switch would begin in the moment of a shift, by choices of both demands, and
+/// hold up the one that is needed.
+Test(popularity, a_change_that_is_not_certain_yet_is_told)
+{
+    std::mt19937 random{5};
+    popularity it;
+    auto now = start;
+    for (int i = 0; i < 20; ++i, now += period)
+    {
+        it.add(drawn(1, random), now);
+        cr_assert(!it.may_be_changing());
+    }
+    // The windows are 100 ms long, so that one of the two ends with the next choices.
+    it.add(drawn(2, random), now);
+    it.add(drawn(2, random), now);
+    cr_assert(it.may_be_changing() || it.changes() == 1);
+    it.add(drawn(2, random), now + 2 * period);
+    it.add(drawn(2, random), now + 4 * period);
+    cr_assert_eq(it.changes(), 1);
+    cr_assert(!it.may_be_changing());
+}
+
 Test(popularity, chance_and_drift_are_no_change)
 {
     std::mt19937 random{2};
