Replace a switch that the demand has overtaken while it is copied

Cause: copies for a demand that had gone were finished first, 150 ms and more. Change: switch_controller takes another map in its first phase, in which ranks only copy; the controller plans anew when the demand changes then. Proof: the model proposes at any time, and fuzz_map_switch finds no pass with two maps in 40,000 chains; its mutations are still found.

--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -144,7 +144,8 @@
 
 bool switch_controller::propose(std::shared_ptr<const expert_map> map, timestamp now)
 {
-    if (!is_at_rest(now))
+    // While ranks only copy, the group's map is what it was.
+    if (!is_at_rest(now) && m_directive.phase != switch_phase::prepare)
         return false;
     m_highest_version = std::max(m_highest_version, m_directive.token * versions_per_lease) + 1;
     m_directive.version = m_highest_version;
--- a/source/core/experts/switch_controller.hpp
+++ b/source/core/experts/switch_controller.hpp
@@ -59,7 +59,8 @@
 
     /// A rank's status has come.
     void take(const rank_status& s, timestamp now);
-    /// Starts a switch to a map; false unless all ranks are known to be at rest.
+    /// Starts a switch to a map, also in the place of one for which the ranks are still copying;
+    /// false unless all ranks are known to be at rest or a switch is that far.
     bool propose(std::shared_ptr<const expert_map> map, timestamp now);
     /// Moves on where the statuses allow it.
     void tick(timestamp now);
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -320,6 +320,11 @@
         if (is_plan_due(now))
             plan(now);
     }
+    // The map that is being copied is for a demand that has gone.
+    const bool is_overtaken = current().phase == experts::switch_phase::prepare &&
+                              m_popularity.changes() != m_planned_changes;
+    if (is_overtaken && is_plan_due(now))
+        plan(now);
     log_phase(now);
 }
 
