Beacon soon after a rank is heard for the first time

Cause: a controller that starts anew knows no addresses; its first beacon went to nobody and the next came 500 ms later, and only then did agents tell what was chosen. Change: a new address brings the next beacon forward to 100 ms from then.

--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -14,6 +14,8 @@
 
 /// How often agents hear from the controller when there is nothing to do.
 constexpr milliseconds beacon_period{500};
+/// A rank that is heard for the first time gets one after this, with others that are.
+constexpr milliseconds first_beacon_delay{100};
 /// A rank whose status has not come for this long passes nothing on; at rest one comes every 500
 /// ms.
 constexpr milliseconds relay_silence{1200};
@@ -158,6 +160,8 @@
 {
     if (m.status.report.group != m_group)
         return;
+    if (!m_addresses.contains(m.status.report.rank))
+        m_beacon_at = std::min(m_beacon_at, now - beacon_period + first_beacon_delay);
     m_addresses.insert_or_assign(m.status.report.rank, m.address);
     m_targets.insert_or_assign(m.status.report.rank, m.target);
     m_size = static_cast<std::size_t>(std::max(0, m.status.report.size));
