Give the sending of orders to a rank a class of its own

Change: order_sender; an order that found no connection counts as not carried out in both places, as no byte of it was sent.

--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -35,15 +35,12 @@
 /// Settings that are used as soon as they change; the others need a new start.
 constexpr auto s_reloadable = std::to_array<std::string_view>({"process.log_level"});
 
-/// The longest answer of a rank; its lists and counts take a few tens of kB.
-constexpr std::size_t most_answer_bytes = std::size_t{1} << 20;
-
 io::call_options to_rank(milliseconds timeout)
 {
     return {.connect_timeout = timeout,
             .silence_timeout = timeout,
             .whole_timeout = timeout,
-            .most_body_bytes = most_answer_bytes};
+            .most_body_bytes = most_rank_answer_bytes};
 }
 
 } // namespace
@@ -65,11 +62,12 @@
                        const rank_wire& names, rank_agent_settings settings)
     : m_loop{loop}, m_client{client}, m_wire{names}, m_settings{std::move(settings)},
       m_driver{draw_agent_number(), common::now(), m_settings.checks_fences},
-      m_pace_notice{store, m_settings.target}, m_store{store},
-      m_messenger{loop, m_settings.common.control_address, m_settings.common.deployment_token,
-                  link(),
-                  [this](const experts::agent_message& m)
-                  { std::visit([this](const auto& it) { take(it); }, m); }},
+      m_orders{client, names, m_settings.target, "order_sent"}, m_pace_notice{store,
+                                                                              m_settings.target},
+      m_store{store}, m_messenger{loop, m_settings.common.control_address,
+                                  m_settings.common.deployment_token, link(),
+                                  [this](const experts::agent_message& m)
+                                  { std::visit([this](const auto& it) { take(it); }, m); }},
       m_choices{link()}, m_metrics_server{loop,
                                           {},
                                           [this](const io::received_request& received,
@@ -282,37 +280,16 @@
     const auto order = m_driver.next_order(common::now());
     if (!order)
         return;
-    common::log(common::log_level::info, "order_sent",
-                {{"order", experts::name_of(order->kind)},
-                 {"version", order->version},
-                 {"pass", order->pass},
-                 {"epoch", order->epoch},
-                 {"fence", order->fence},
-                 {"timeout_ms", m_order_timer.timeout().count()}});
-    m_order_call = m_client.send(m_settings.target, m_wire.order_request(*order),
-                                 {.on_end =
-                                      [this, kind = order->kind, sent = common::now()](
-                                          io::call_end how, const io::http_answer& answer)
-                                  {
-                                      const auto call = std::move(m_order_call);
-                                      if (how == io::call_end::complete)
-                                          m_order_timer.answered(common::now() - sent);
-                                      else
-                                          m_order_timer.lost();
-                                      const auto ended = how == io::call_end::complete
-                                                             ? m_wire.read_order_end(answer)
-                                                         : how == io::call_end::not_connected
-                                                             ? experts::order_end::conflict
-                                                             : experts::order_end::unknown;
-                                      if (ended != experts::order_end::accepted)
-                                          common::log(common::log_level::info, "order_not_accepted",
-                                                      {{"order", experts::name_of(kind)},
-                                                       {"status", answer.status},
-                                                       {"end", static_cast<int>(ended)}});
-                                      m_driver.order_ended(ended, common::now());
-                                      read_report();
-                                  }},
-                                 to_rank(m_order_timer.timeout()));
+    m_orders.send(*order, m_order_timer.timeout(),
+                  [this](experts::order_end end, std::optional<milliseconds> answered_after)
+                  {
+                      if (answered_after)
+                          m_order_timer.answered(*answered_after);
+                      else
+                          m_order_timer.lost();
+                      m_driver.order_ended(end, common::now());
+                      read_report();
+                  });
 }
 
 void rank_agent::read_held()
@@ -492,7 +469,7 @@
     const bool is_at_rest = m_driver.current().phase == experts::switch_phase::rest && !is_armed;
     m_tick_timer = m_loop.after(is_at_rest ? tick_period : switch_tick_period, [this] { tick(); });
     const auto period = is_at_rest ? report_period : switch_tick_period;
-    if (!m_report_call && !m_order_call && now - m_report_asked >= period)
+    if (!m_report_call && !m_orders.is_busy() && now - m_report_asked >= period)
         read_report();
     if (!m_choices_call && now - m_choices_asked >= experts::choices_period)
         read_choices();
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -13,6 +13,7 @@
 #include "rank_agent/group_controller.hpp"
 #include "rank_agent/leadership.hpp"
 #include "rank_agent/messenger.hpp"
+#include "rank_agent/order_sender.hpp"
 #include "rank_agent/pace_notice.hpp"
 #include "rank_agent/rank_wire.hpp"
 #include "rank_agent/remote_rank.hpp"
@@ -93,6 +94,7 @@
     const rank_wire& m_wire;
     rank_agent_settings m_settings;
     experts::rank_driver m_driver;
+    order_sender m_orders;
     experts::order_timer m_order_timer;
     /// The rank's group; empty before its first report.
     std::string m_group;
@@ -124,7 +126,6 @@
     io::call_handle m_report_call;
     io::call_handle m_choices_call;
     io::call_handle m_held_call;
-    io::call_handle m_order_call;
     io::timer_handle m_tick_timer;
     io::timer_handle m_store_calls_timer;
     bool m_shutting_down = false;
--- a/source/rank_agent/rank_wire.hpp
+++ b/source/rank_agent/rank_wire.hpp
@@ -14,6 +14,9 @@
 namespace kumquatgap::rank_agent
 {
 
+/// The longest answer of a rank; its lists and counts take a few tens of kB.
+inline constexpr std::size_t most_rank_answer_bytes = std::size_t{1} << 20;
+
 /// How often a rank's requests chose each expert since it started: the experts of the first set,
 /// then those of the second, and so on.
 struct choice_counts
--- a/source/rank_agent/remote_rank.cpp
+++ b/source/rank_agent/remote_rank.cpp
@@ -26,14 +26,15 @@
 remote_rank::remote_rank(io::http_client& client, const rank_wire& names, std::string target,
                          status_handler fn)
     : m_client{client}, m_wire{names}, m_target{std::move(target)}, m_handler{std::move(fn)},
-      m_driver{draw_agent_number(), common::now()}
+      m_driver{draw_agent_number(), common::now()}, m_orders{client, names, m_target,
+                                                             "order_sent_from_afar"}
 {
     m_driver.share_rank();
 }
 
 void remote_rank::tick(timestamp now)
 {
-    if (m_order_call || m_report_call)
+    if (m_orders.is_busy() || m_report_call)
         return;
     if (const auto order = m_driver.next_order(now))
         return send(*order);
@@ -66,27 +67,14 @@
 
 void remote_rank::send(const experts::rank_order& order)
 {
-    common::log(common::log_level::info, "order_sent_from_afar",
-                {{"order", experts::name_of(order.kind)},
-                 {"target", m_target},
-                 {"version", order.version},
-                 {"pass", order.pass},
-                 {"epoch", order.epoch},
-                 {"fence", order.fence}});
-    m_order_call = m_client.send(
-        m_target, m_wire.order_request(order),
-        {.on_end =
-             [this](io::call_end end, const io::http_answer& answer)
-         {
-             const auto call = std::move(m_order_call);
-             const auto now = common::now();
-             m_order_ended_at = now;
-             const bool has_answer = end == io::call_end::complete;
-             m_driver.order_ended(
-                 has_answer ? m_wire.read_order_end(answer) : experts::order_end::unknown, now);
-             m_handler(m_driver.status(now));
-         }},
-        how());
+    m_orders.send(order, answer_timeout,
+                  [this](experts::order_end end, std::optional<milliseconds> /*answered_after*/)
+                  {
+                      const auto now = common::now();
+                      m_order_ended_at = now;
+                      m_driver.order_ended(end, now);
+                      m_handler(m_driver.status(now));
+                  });
 }
 
 } // namespace kumquatgap::rank_agent
--- a/source/rank_agent/remote_rank.hpp
+++ b/source/rank_agent/remote_rank.hpp
@@ -3,6 +3,7 @@
 #include "experts/rank_driver.hpp"
 #include "io/event_loop.hpp"
 #include "io/http_client.hpp"
+#include "rank_agent/order_sender.hpp"
 #include "rank_agent/rank_wire.hpp"
 
 #include <functional>
@@ -40,10 +41,10 @@
     std::string m_target;
     status_handler m_handler;
     experts::rank_driver m_driver;
+    order_sender m_orders;
     timestamp m_asked_at;
     timestamp m_order_ended_at;
     io::call_handle m_report_call;
-    io::call_handle m_order_call;
 };
 
 } // namespace kumquatgap::rank_agent
