Keep notices of leaving targets from going round for ever

Cause, found in the reading of the change: gateways told each other what they had from each other, so that a notice without a start renewed itself, and the target was never used again; a notice with a start was kept and told as long as the process lived.

--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -47,9 +47,15 @@
     m_rows.erase(it);
 }
 
-bool target_table::found_leaving(const std::string& id, std::int64_t started_at, timestamp now)
+bool target_table::found_leaving(const std::string& id, std::int64_t started_at, notice_source from,
+                                 timestamp now)
 {
-    return m_notices.note_leaving(id, started_at, now);
+    return m_notices.note_leaving(id, started_at, from, now);
+}
+
+void target_table::prune(timestamp now)
+{
+    m_notices.prune([this](const std::string& id) { return m_rows.contains(id); }, now);
 }
 
 bool target_table::found_busy(const std::string& id, std::int64_t started_at, milliseconds time,
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -60,17 +60,18 @@
     void found_wrong(const std::string& id);
 
     /// A target has said that it leaves, here or to another gateway. True when that is news.
-    bool found_leaving(const std::string& id, std::int64_t started_at, timestamp now);
+    bool found_leaving(const std::string& id, std::int64_t started_at, notice_source from,
+                       timestamp now);
     /// A target wants nothing for some time. True when it wanted some before.
     bool found_busy(const std::string& id, std::int64_t started_at, milliseconds time,
                     timestamp now);
-    /// The targets that said that they leave.
-    leaving_targets leaving(timestamp now) const { return m_notices.leaving(now); }
+    /// The targets that said here, lately, that they leave.
+    leaving_targets leaving_to_tell(timestamp now) const { return m_notices.to_tell(now); }
     /// When the first of a service's targets takes work again, if all that would take some have
     /// asked to be left alone; none otherwise.
     std::optional<timestamp> all_busy_until(std::string_view service, timestamp now) const;
     /// Forgets notices that no longer hold.
-    void prune(timestamp now) { m_notices.prune(now); }
+    void prune(timestamp now);
 
     /// A target that takes new work: neither leaving, busy nor gone, and the last at its address.
     const target* find_usable(const std::string& id, timestamp now) const;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -136,7 +136,7 @@
     if (head.is_leaving)
     {
         m_metrics.count("kqg_leaving_answers_total");
-        m_follower.target_leaves(it.id, it.started_at, "answer");
+        m_follower.target_leaves(it.id, it.started_at, {});
     }
     if (head.busy_for)
     {
@@ -261,7 +261,7 @@
         it->check_time(now);
     m_ordinary_log.report(now);
     m_failure_log.report(now);
-    load_exchange::news own{{}, targets().leaving(now)};
+    load_exchange::news own{{}, targets().leaving_to_tell(now)};
     for (const auto& [name, state] : m_services)
         own.work.insert(state.board.own_loads().begin(), state.board.own_loads().end());
     m_loads.send(m_follower.peers(), own, now);
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -229,14 +229,15 @@
 }
 
 void state_follower::target_leaves(const std::string& id, std::int64_t started_at,
-                                   std::string_view heard_from)
+                                   std::string_view peer)
 {
-    if (!m_targets.found_leaving(id, started_at, common::now()))
+    const auto from = peer.empty() ? fleet::notice_source::answer : fleet::notice_source::peer;
+    if (!m_targets.found_leaving(id, started_at, from, common::now()))
         return;
     common::log(common::log_level::info, "target_leaves",
                 {{"target", id},
                  {"started_at", started_at},
-                 {"heard_from", heard_from},
+                 {"heard_from", peer.empty() ? "answer" : peer},
                  {"code", common::number(common::result_code::target_draining)}});
     if (m_on_change)
         m_on_change();
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -34,8 +34,9 @@
     const fleet::target_table& targets() const { return m_targets; }
     /// What answers at a target's address says that it is another one.
     void target_found_wrong(const std::string& id);
-    /// A target says in an answer that it leaves, or another gateway has heard that.
-    void target_leaves(const std::string& id, std::int64_t started_at, std::string_view heard_from);
+    /// A target says in an answer that it leaves, or another gateway, `peer`, has heard that; empty
+    /// for an answer.
+    void target_leaves(const std::string& id, std::int64_t started_at, std::string_view peer);
     /// A target that turned a call away wants nothing for some time.
     void target_is_busy(const std::string& id, std::int64_t started_at, common::milliseconds time);
     /// How much slower than usual the target at an address is; 1 for not at all.
--- a/source/unit_tests/fleet/target_notices_test.cpp
+++ b/source/unit_tests/fleet/target_notices_test.cpp
@@ -32,8 +32,8 @@
 {
     target_table it;
     it.put(one("a", 50));
-    cr_assert(it.found_leaving("a", 50, start));
-    cr_assert(!it.found_leaving("a", 50, start), "no news");
+    cr_assert(it.found_leaving("a", 50, notice_source::answer, start));
+    cr_assert(!it.found_leaving("a", 50, notice_source::answer, start), "no news");
     cr_assert(!takes_work(it, "a", start));
     it.put(one("a", 50, 9));
     cr_assert(!takes_work(it, "a", start + 100 * second), "the same start, still ready");
@@ -43,7 +43,7 @@
 {
     target_table it;
     it.put(one("a", 50));
-    it.found_leaving("a", 50, start);
+    it.found_leaving("a", 50, notice_source::answer, start);
     it.remove("a", start, std::nullopt);
     it.put(one("a", 50, 9));
     cr_assert(!takes_work(it, "a", start + second));
@@ -53,11 +53,12 @@
 {
     target_table it;
     it.put(one("a", 50));
-    it.found_leaving("a", 50, start);
+    it.found_leaving("a", 50, notice_source::answer, start);
     it.found_busy("a", 50, 60 * second, start);
     it.put(one("a", 51, 9));
     cr_assert(takes_work(it, "a", start));
-    cr_assert(!it.found_leaving("a", 50, start), "another gateway speaks of the start before");
+    cr_assert(!it.found_leaving("a", 50, notice_source::answer, start),
+              "another gateway speaks of the start before");
     cr_assert(takes_work(it, "a", start));
 }
 
@@ -65,7 +66,7 @@
 {
     target_table it;
     it.put(one("a", 50));
-    it.found_leaving("a", 50, start);
+    it.found_leaving("a", 50, notice_source::answer, start);
     it.put(one("b", 70, 9));
     cr_assert(takes_work(it, "b", start));
 }
@@ -74,7 +75,7 @@
 {
     target_table it;
     it.put(one("a", 0));
-    it.found_leaving("a", 0, start);
+    it.found_leaving("a", 0, notice_source::answer, start);
     it.put(one("a", 0, 9));
     cr_assert(!takes_work(it, "a", start + 59 * second));
     cr_assert(takes_work(it, "a", start + 61 * second));
@@ -116,17 +117,38 @@
     cr_assert(!it.all_busy_until("s", start));
     it.found_busy("b", 50, 3 * second, start);
     cr_assert(it.all_busy_until("s", start) == start + 3 * second);
-    it.found_leaving("b", 50, start);
+    it.found_leaving("b", 50, notice_source::answer, start);
     cr_assert(it.all_busy_until("s", start) == start + 5 * second);
     cr_assert(!it.all_busy_until("other", start));
 }
 
 Test(target_notices, only_what_holds_is_kept)
 {
-    target_notices it;
-    it.note_leaving("a", 0, start);
-    it.note_leaving("b", 50, start);
-    it.note_busy("c", 50, second, start);
-    it.prune(start + 61 * second);
-    cr_assert(it.leaving(start) == (leaving_targets{{"b", 50}}));
+    target_table it;
+    it.put(one("a", 50));
+    it.found_leaving("a", 50, notice_source::answer, start);
+    it.found_leaving("gone", 50, notice_source::answer, start);
+    constexpr milliseconds hour = 3600 * second;
+    it.prune(start + hour);
+    cr_assert(!takes_work(it, "a", start + hour), "its entry is still there");
+    it.put(one("gone", 50, 9));
+    cr_assert(takes_work(it, "gone", start + hour));
+}
+
+/// Two gateways that told each other what they have from each other would never forget it.
+Test(target_notices, what_another_gateway_said_is_not_told_on)
+{
+    target_notices here;
+    target_notices there;
+    here.note_leaving("a", 0, notice_source::answer, start);
+    for (int s = 0; s < 200; ++s)
+    {
+        const auto now = start + s * second;
+        for (const auto& [id, started_at] : here.to_tell(now))
+            there.note_leaving(id, started_at, notice_source::peer, now);
+        for (const auto& [id, started_at] : there.to_tell(now))
+            here.note_leaving(id, started_at, notice_source::peer, now);
+    }
+    cr_assert(!here.is_leaving("a", start + 200 * second));
+    cr_assert(!there.is_leaving("a", start + 200 * second));
 }
