--- a/tests/failures/deployment.cpp
+++ b/tests/failures/deployment.cpp
@@ -199,6 +199,13 @@
              {"slots", it.slots}});
     if (!wait_for_config())
         throw std::runtime_error{"the configuration does not come into force"};
+    // Agents can be ready before the targets beside them listen.
+    for (const auto& it : p.targets)
+    {
+        const auto target = address(it.service == "assistant" ? it.name : "orders");
+        if (!wait_until([&] { return call(target, {"GET", "/metrics"}).status != 0; }))
+            throw std::runtime_error{"a target does not start"};
+    }
 }
 
 std::shared_ptr<open_call> deployment::begin(const std::string& address,
