--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -117,12 +117,6 @@
         return end("request_refused", failure.code, common::info(failure.code).http_status);
     }
     m_is_waiting = true;
-    const auto back_at = m_gateway.targets().all_busy_until(m_service, m_arrived);
-    if (back_at && waiting().deadline < *back_at)
-    {
-        m_gateway.service(m_service).line.remove(m_number);
-        return waited_too_long();
-    }
     m_gateway.dispatch(m_service);
 }
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -218,6 +218,7 @@
 {
     auto& state = m_services[name];
     const auto now = common::now();
+    refuse_hopeless(name, state, now);
     while (now >= state.held_until)
     {
         if (state.is_suspect && !state.board.own_loads().empty())
@@ -250,7 +251,6 @@
             if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
                 it->second->waited_too_long();
         }
-        refuse_hopeless(name, state, now);
         follow_halts(name, state, now);
         measure_pace(name, state, now);
         if (!state.line.empty())
