--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -19,6 +19,7 @@
         m_latest_pass = 0;
         enter_rest(now);
     }
+    m_last_reporting_rank = r.rank;
     update_pass_time(r.pass, now);
     m_highest_version = std::max({m_highest_version, r.version, r.prepared});
     const auto known = m_ranks.find(r.rank);
--- a/source/core/experts/switch_controller.hpp
+++ b/source/core/experts/switch_controller.hpp
@@ -89,6 +89,9 @@
     rank_slowdowns slowdowns() const;
     /// The mean duration of recent passes in milliseconds.
     double pass_ms() const { return m_pass_ms; }
+    /// The rank whose status was handled last. When a phase ends with a status, this is the rank
+    /// that the phase waited for.
+    rank_number last_reporting_rank() const { return m_last_reporting_rank; }
     /// The number of ranks with a valid status.
     std::size_t known_ranks(timestamp now) const;
     /// Ranks without a status for longer than `silence`.
@@ -120,6 +123,7 @@
     switch_options m_options;
     directive m_directive;
     std::map<rank_number, known_rank> m_ranks;
+    rank_number m_last_reporting_rank = 0;
     std::int64_t m_epoch = 0;
     map_version m_highest_version = 0;
     timestamp m_phase_began;
--- a/source/rank_agent/group_controller.cpp
+++ b/source/rank_agent/group_controller.cpp
@@ -313,6 +313,7 @@
                  {"token", d.token},
                  {"epoch", d.epoch},
                  {"ranks", static_cast<std::int64_t>(m_switch.known_ranks(now))},
+                 {"last_phase_rank", m_switch.last_reporting_rank()},
                  {"last_phase_ms",
                   m_phase_started_at == timestamp{} ? 0 : (now - m_phase_started_at).count()}});
     m_logged_phase = d.phase;
