Empty a slow rank for which a group in lock-step waits

Cause: a rank that works 4 or 12 times as long keeps its group at that pace while it has one stream. Gateways sent it no more, but the streams that it had ran on: passes of 160 ms (x4) and 420 to 490 ms (x12) on the shifted site until the last one had ended. A resumable stream now leaves a target that its agent reports as slow, when the gap between its events exceeds the route's goal and the engine's published figures give the slow rank at least half of the excess. Its streams are late by then, so moving them costs nobody an answer in time; attempts and the retry budget bound it.

The part of an exchange that acts on time alone has a file of its own.

Tests: replays of x4 and x12 at the crest and in the trough, and of what is left alone.

--- a/source/core/policy/engine_latency_model.cpp
+++ b/source/core/policy/engine_latency_model.cpp
@@ -43,6 +43,16 @@
                       slots);
 }
 
+bool engine_latency_model::should_empty(double slowdown, milliseconds event_gap,
+                                        milliseconds max_gap) const
+{
+    if (!has_engine() || slowdown <= 1 || max_gap.count() == 0 || event_gap <= max_gap)
+        return false;
+    const auto added_ms = slowdown * predicted_pass_ms(1) - predicted_pass_ms(m_streams);
+    const auto excess_ms = static_cast<double>((event_gap - max_gap).count());
+    return added_ms > 0 && added_ms >= m_options.min_part_of_excess * excess_ms;
+}
+
 void engine_latency_model::record_first_event_latency(milliseconds after)
 {
     const auto difference = static_cast<double>(after.count()) - m_first_event_ms;
--- a/source/core/policy/engine_latency_model.hpp
+++ b/source/core/policy/engine_latency_model.hpp
@@ -19,6 +19,10 @@
     /// The fraction of an engine's slots that is used however slow its passes are. With fewer
     /// streams, passes hardly get shorter, since the fixed cost of a step remains.
     double min_slot_fraction = 0.4;
+    /// A slow engine is emptied when it causes at least this part of the time by which event gaps
+    /// exceed the goal. Causes that last for one pass, such as a switch of maps, are much longer
+    /// than what a slightly slow engine adds.
+    double min_part_of_excess = 0.5;
     /// The smoothing factor of the time to the first event, and the number of mean deviations that
     /// are added to it as a margin.
     double first_event_weight = 0.05;
@@ -64,6 +68,10 @@
     /// the other engines with their current streams. `slowdown` is its pass time relative to theirs
     /// with the same number of streams. May be 0.
     double max_streams_at_slowdown(double slowdown) const;
+    /// True when a slow engine should be left without streams. `event_gap` is the gap that the
+    /// streams of its group have now. The group waits for a slow engine as long as that has one
+    /// stream, so this is true when the gap exceeds `max_gap` and the engine causes enough of it.
+    bool should_empty(double slowdown, milliseconds event_gap, milliseconds max_gap) const;
     /// Records the time from sending a run to its engine until its first event.
     void record_first_event_latency(milliseconds after);
     /// The expected time to the first event of a run that is sent now, with a margin.
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -20,11 +20,6 @@
 constexpr milliseconds min_slack{60};
 /// A call with less time left than this is not retried.
 constexpr milliseconds min_time_for_retry{60};
-/// A stream has stalled when it sends nothing for this long while others of its service progress.
-constexpr milliseconds max_silence{1100};
-/// An idempotent call is retried elsewhere after this many times its goal, and the minimum time.
-constexpr int goals_before_retry = 2;
-constexpr milliseconds min_time_before_retry{250};
 /// For how long no call is sent to a group that has a failed member.
 constexpr milliseconds group_pause{250};
 /// When more than this is unsent because the caller reads slowly, reading from the target pauses.
@@ -153,6 +148,7 @@
         m_received.request, {it.id, m_team, time_left, m_last_event_id});
     m_attempts.begin();
     m_last_event_at.reset();
+    m_last_gap = milliseconds{0};
     m_attempt = std::make_unique<attempt>(
         m_gateway, *this,
         attempt::options{it, m_caller.id, fleet::is_stream(m_route->kind),
@@ -219,8 +215,10 @@
             static_cast<double>(elapsed_ms(it.started(), now)));
     }
     if (m_last_event_at)
-        state.latency.record_event_gap(
-            std::chrono::duration_cast<milliseconds>(now - *m_last_event_at));
+    {
+        m_last_gap = std::chrono::duration_cast<milliseconds>(now - *m_last_event_at);
+        state.latency.record_event_gap(m_last_gap);
+    }
     m_last_event_at = now;
     ++m_event_count;
 }
@@ -377,76 +375,6 @@
     end("request_failed", ended, common::info(ended).http_status);
 }
 
-void exchange::handle_queue_timeout()
-{
-    if (m_ended || !m_is_queued)
-        return;
-    m_is_queued = false;
-    if (has_fallback_response())
-        return forward_response(*m_fallback);
-    if (m_attempts.is_certainly_not_executed())
-        return refuse(result_code::deadline_unreachable, "");
-    fail(result_code::outcome_unknown, "no other target had a place");
-}
-
-void exchange::handle_deadline()
-{
-    if (m_is_queued)
-        m_gateway.service(m_service).queue.remove(m_number);
-    if (m_is_queued)
-        return handle_queue_timeout();
-    if (m_attempt && m_attempt->may_have_reached_target())
-        m_attempts.end(attempt_outcome::unknown);
-    if (m_attempt)
-        m_attempt->cancel(target_health::unknown);
-    if (has_fallback_response())
-        return forward_response(*m_fallback);
-    if (m_attempts.is_certainly_not_executed())
-        return refuse(result_code::deadline_unreachable, "");
-    fail(result_code::target_timeout, "");
-}
-
-bool exchange::is_stalled(const attempt& it, timestamp now) const
-{
-    const auto& state = m_gateway.service(m_service);
-    // When a whole group stalls, all its streams are silent and another target would not help.
-    if (m_route->kind == fleet::call_kind::resumable_stream)
-        return state.stalls.is_progressing(now) &&
-               now - std::max(it.last_activity(), state.stalls.progressing_since()) > max_silence;
-    const auto limit = std::max(m_route->goal * goals_before_retry, min_time_before_retry);
-    return m_route->kind == fleet::call_kind::idempotent && now - it.started() > limit;
-}
-
-void exchange::check_timeouts(timestamp now)
-{
-    if (m_ended)
-        return;
-    if (now >= m_deadline)
-        return handle_deadline();
-    if (!m_attempt || !is_stalled(*m_attempt, now))
-        return;
-    // An attempt is abandoned only if another target can take the call.
-    auto tried = m_tried;
-    tried.insert(m_attempt->target().id);
-    if (fleet::next_target_after(attempt_outcome::unknown,
-                                 m_gateway.targets().usable(m_service, now),
-                                 tried) != fleet::next_target::untried ||
-        !claim_retry(attempt_outcome::unknown))
-        return;
-    common::log(common::log_level::info, "attempt_stalled",
-                {{"id", m_caller.id},
-                 {"target", m_attempt->target().id},
-                 {"events", m_event_count},
-                 {"silent_ms", elapsed_ms(m_attempt->last_activity(), now)}});
-    m_attempts.end(attempt_outcome::unknown);
-    m_tried.insert(m_attempt->target().id);
-    m_attempt->cancel(target_health::transport_failure);
-    release_attempt(*m_attempt);
-    if (m_attempts.may_retry())
-        return requeue();
-    fail(result_code::target_timeout, "");
-}
-
 void exchange::handle_disconnect()
 {
     if (m_ended)
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -58,6 +58,11 @@
     bool claim_retry(fleet::attempt_outcome last);
     void pause_service(const attempt& it);
     bool is_stalled(const attempt& it, timestamp now) const;
+    /// True when this stream keeps a slow target in use for which the streams of a group wait.
+    bool is_on_slow_target(const attempt& it, timestamp now) const;
+    /// Ends the current attempt and sends the call to another target, if there is one and the
+    /// retries allow it. `event` is the log event, `health` what it says about the target.
+    void leave_target(std::string_view event, policy::target_health health, timestamp now);
     bool has_fallback_response() const;
     void forward_response(const io::http_response& response);
     void finish_stream();
@@ -88,6 +93,8 @@
     std::optional<timestamp> m_first_event_at;
     /// Arrival of the current attempt's last event.
     std::optional<timestamp> m_last_event_at;
+    /// The gap between the last two events of the current attempt.
+    milliseconds m_last_gap{0};
     fleet::attempt_history m_attempts{fleet::call_kind::once, 1};
     std::set<std::string> m_tried;
     std::unique_ptr<attempt> m_attempt;
--- /dev/null
+++ b/source/gateway/exchange_timeouts.cpp
@@ -0,0 +1,117 @@
+#include "common/log.hpp"
+#include "gateway/exchange.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+/// The part of an exchange that acts on time alone: waits, deadlines, stalled and slow targets.
+namespace kumquatgap::gateway
+{
+
+using common::result_code;
+using fleet::attempt_outcome;
+using policy::target_health;
+
+namespace
+{
+
+constexpr double per_thousand = 1000;
+/// A stream has stalled when it sends nothing for this long while others of its service progress.
+constexpr milliseconds max_silence{1100};
+/// An idempotent call is retried elsewhere after this many times its goal, and the minimum time.
+constexpr int goals_before_retry = 2;
+constexpr milliseconds min_time_before_retry{250};
+
+} // namespace
+
+void exchange::handle_queue_timeout()
+{
+    if (m_ended || !m_is_queued)
+        return;
+    m_is_queued = false;
+    if (has_fallback_response())
+        return forward_response(*m_fallback);
+    if (m_attempts.is_certainly_not_executed())
+        return refuse(result_code::deadline_unreachable, "");
+    fail(result_code::outcome_unknown, "no other target had a place");
+}
+
+void exchange::handle_deadline()
+{
+    if (m_is_queued)
+        m_gateway.service(m_service).queue.remove(m_number);
+    if (m_is_queued)
+        return handle_queue_timeout();
+    if (m_attempt && m_attempt->may_have_reached_target())
+        m_attempts.end(attempt_outcome::unknown);
+    if (m_attempt)
+        m_attempt->cancel(target_health::unknown);
+    if (has_fallback_response())
+        return forward_response(*m_fallback);
+    if (m_attempts.is_certainly_not_executed())
+        return refuse(result_code::deadline_unreachable, "");
+    fail(result_code::target_timeout, "");
+}
+
+bool exchange::is_stalled(const attempt& it, timestamp now) const
+{
+    const auto& state = m_gateway.service(m_service);
+    // When a whole group stalls, all its streams are silent and another target would not help.
+    if (m_route->kind == fleet::call_kind::resumable_stream)
+        return state.stalls.is_progressing(now) &&
+               now - std::max(it.last_activity(), state.stalls.progressing_since()) > max_silence;
+    const auto limit = std::max(m_route->goal * goals_before_retry, min_time_before_retry);
+    return m_route->kind == fleet::call_kind::idempotent && now - it.started() > limit;
+}
+
+bool exchange::is_on_slow_target(const attempt& it, timestamp now) const
+{
+    if (m_route->kind != fleet::call_kind::resumable_stream || !m_last_event_at)
+        return false;
+    const auto current = std::chrono::duration_cast<milliseconds>(now - *m_last_event_at);
+    return m_gateway.service(m_service).latency.should_empty(
+        m_gateway.slowdown_of(it.target()), std::max(m_last_gap, current), m_route->gap_goal);
+}
+
+void exchange::check_timeouts(timestamp now)
+{
+    if (m_ended)
+        return;
+    if (now >= m_deadline)
+        return handle_deadline();
+    if (!m_attempt)
+        return;
+    if (is_stalled(*m_attempt, now))
+        return leave_target("attempt_stalled", target_health::transport_failure, now);
+    if (is_on_slow_target(*m_attempt, now))
+        leave_target("slow_target_left", target_health::unknown, now);
+}
+
+void exchange::leave_target(std::string_view event, target_health health, timestamp now)
+{
+    // An attempt is abandoned only if another target can take the call.
+    auto tried = m_tried;
+    tried.insert(m_attempt->target().id);
+    if (fleet::next_target_after(attempt_outcome::unknown,
+                                 m_gateway.targets().usable(m_service, now),
+                                 tried) != fleet::next_target::untried ||
+        !claim_retry(attempt_outcome::unknown))
+        return;
+    common::log(common::log_level::info, event,
+                {{"id", m_caller.id},
+                 {"target", m_attempt->target().id},
+                 {"events", m_event_count},
+                 {"gap_ms", m_last_gap.count()},
+                 {"slowdown_thousandths",
+                  std::llround(m_gateway.slowdown_of(m_attempt->target()) * per_thousand)},
+                 {"silent_ms", (now - m_attempt->last_activity()).count()}});
+    m_attempts.end(attempt_outcome::unknown);
+    m_tried.insert(m_attempt->target().id);
+    m_attempt->cancel(health);
+    release_attempt(*m_attempt);
+    if (m_attempts.may_retry())
+        return requeue();
+    fail(result_code::target_timeout, "");
+}
+
+} // namespace kumquatgap::gateway
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -90,6 +90,8 @@
     common::limited_log& failure_log() { return m_failure_log; }
     policy::windowed_retry_budget& retry_budget() { return m_retry_budget; }
     const fleet::target_table& targets() const { return m_follower.targets(); }
+    /// How many times slower than normal the target runs; 1 when nothing is known.
+    double slowdown_of(const fleet::target& it) const { return m_follower.slowdown_of(it.address); }
     void release_address(const std::string& id) { m_follower.release_address(id); }
     /// Applies the notices (draining, busy) in a target's response head.
     void apply_target_notices(const fleet::target& it, const target_response& head);
--- a/source/unit_tests/policy/engine_latency_model_test.cpp
+++ b/source/unit_tests/policy/engine_latency_model_test.cpp
@@ -151,3 +151,62 @@
     // The fixed part of a pass alone takes longer than a whole pass of the other engines.
     cr_assert_eq(pace.max_streams_at_slowdown(12), 0);
 }
+
+namespace
+{
+
+/// Load pattern: one rank of a group in lock-step turns slow. All ranks wait for it while it has
+/// one stream. Returns the event gap of the group: the slowest rank's own part of a pass, and what
+/// the experts take.
+milliseconds gap_of_group(const engine_latency_model& model, double streams, double slowdown,
+                          double slow_rank_streams, double experts_ms)
+{
+    const auto slow_ms =
+        slow_rank_streams > 0 ? slowdown * model.predicted_pass_ms(slow_rank_streams) : 0;
+    return milliseconds{static_cast<std::int64_t>(
+        std::max(slow_ms, model.predicted_pass_ms(streams)) + experts_ms)};
+}
+
+constexpr milliseconds gap_goal{120};
+
+} // namespace
+
+Test(engine_latency_model, empties_a_slow_engine_at_the_crest_and_in_the_trough)
+{
+    for (const double streams : {2.0, 8.0})
+    {
+        for (const double slowdown : {4.0, 12.0})
+        {
+            engine_latency_model model;
+            model.set_engine(engine());
+            model.tick(streams);
+            const auto experts_ms = gap_goal.count() - model.predicted_pass_ms(streams) - 10;
+            const auto gap = gap_of_group(model, streams, slowdown, 1, experts_ms);
+            cr_assert_gt(gap.count(), gap_goal.count());
+            cr_assert(model.should_empty(slowdown, gap, gap_goal));
+            const auto gap_without = gap_of_group(model, streams, slowdown, 0, experts_ms);
+            cr_assert_leq(gap_without.count(), gap_goal.count());
+            cr_assert_eq(model.max_streams_at_slowdown(slowdown), 0, "nothing is sent back to it");
+        }
+    }
+}
+
+/// Streams that are moved lose time, so they stay where the others are in time anyway.
+Test(engine_latency_model, leaves_streams_on_a_slow_engine_while_gaps_are_within_the_goal)
+{
+    engine_latency_model model;
+    model.set_engine(engine());
+    model.tick(8);
+    cr_assert_not(model.should_empty(4, gap_goal, gap_goal));
+    cr_assert_not(model.should_empty(1, gap_goal * 3, gap_goal));
+    cr_assert_not(model.should_empty(4, gap_goal * 3, milliseconds{0}));
+}
+
+/// A slightly slow engine is not what makes a pass of several goals.
+Test(engine_latency_model, leaves_streams_on_a_slow_engine_that_adds_little_to_a_long_gap)
+{
+    engine_latency_model model;
+    model.set_engine(engine());
+    model.tick(8);
+    cr_assert_not(model.should_empty(1.6, gap_goal * 4, gap_goal));
+}
