Hold no pass that the controller's lease may not outlive

A hold is now asked for only while the lease lasts four times the arming time (250 to 800 ms), also when a hold that came too late is repeated. An agent that is told to stop begins no further switch, and stops while ranks only copy; before, it could plan on until its limit.

Tests: two in switch_controller_test.

--- a/source/core/experts/switch_controller.cpp
+++ b/source/core/experts/switch_controller.cpp
@@ -1,6 +1,7 @@
 #include "experts/switch_controller.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace kumquatgap::experts
@@ -179,7 +180,7 @@
     const bool is_prepared =
         all_ranks(now, [this](const rank_status& s)
                   { return s.report.prepared == m_directive.version && s.is_settled; });
-    if (!is_prepared)
+    if (!is_prepared || !outlives_switch(now))
     {
         if (now - m_phase_began > m_options.prepare_timeout)
             enter_rest(now);
@@ -220,6 +221,15 @@
         (difference > 0 ? m_options.increase_weight : m_options.smoothing_weight) * difference;
 }
 
+/// True when the lease lasts long enough for a switch that begins now. Load pattern: the store is
+/// away or slow, the lease can't be renewed, and the group must not be held when it ends.
+bool switch_controller::outlives_switch(timestamp now) const
+{
+    const milliseconds arming{std::llround(m_options.lease_guard_factor * m_arming_ms)};
+    return m_lease_ends_at - now >=
+           std::clamp(arming, m_options.min_lease_guard, m_options.max_lease_guard);
+}
+
 /// Requests a hold m_lead_passes after the latest pass of any rank.
 void switch_controller::request_hold(timestamp now)
 {
@@ -245,6 +255,8 @@
                              it->second.status.report.pass >= m_directive.pass;
     if (is_too_late && m_lead_passes < m_options.max_lead_passes)
     {
+        if (!outlives_switch(now))
+            return enter(switch_phase::release, now);
         m_lead_passes *= 2;
         request_hold(now);
     }
--- a/source/core/experts/switch_controller.hpp
+++ b/source/core/experts/switch_controller.hpp
@@ -32,6 +32,11 @@
     double smoothing_weight = 0.1;
     /// Passes further apart than this belong to an idle group and are not measured.
     milliseconds max_pass_gap{400};
+    /// A pass is held only when the lease lasts this many times the mean arming time, within the
+    /// bounds: a hold that outlives its controller stops the group until the next one leads.
+    double lease_guard_factor = 4;
+    milliseconds min_lease_guard{250};
+    milliseconds max_lease_guard{800};
     /// A phase that takes longer than its timeout is aborted.
     milliseconds prepare_timeout{6000};
     milliseconds hold_timeout{1500};
@@ -69,6 +74,9 @@
     /// Starts a switch to a map. Replaces a switch in the `prepare` phase. False when neither all
     /// ranks are at rest nor a switch is in that phase.
     bool propose(std::shared_ptr<const expert_map> map, timestamp now);
+    /// Sets until when the controller is certain to lead. No hold is requested when too little time
+    /// is left for the switch.
+    void set_lease_end(timestamp at) { m_lease_ends_at = at; }
     /// Enters the next phase when the statuses allow it or the present one has timed out.
     void tick(timestamp now);
 
@@ -113,6 +121,7 @@
     void recover_interrupted_switch(timestamp now);
     void tick_prepare(timestamp now);
     void tick_hold(timestamp now);
+    bool outlives_switch(timestamp now) const;
     void request_hold(timestamp now);
     pass_number initial_lead_passes() const;
     void update_pass_time(pass_number pass, timestamp now);
@@ -127,6 +136,7 @@
     std::int64_t m_epoch = 0;
     map_version m_highest_version = 0;
     timestamp m_phase_began;
+    timestamp m_lease_ends_at = timestamp::max();
     /// The number of passes by which the current hold is ahead, and when the hold was requested.
     pass_number m_lead_passes = 0;
     timestamp m_hold_requested_at;
--- a/source/rank_agent/group_controller.hpp
+++ b/source/rank_agent/group_controller.hpp
@@ -63,6 +63,14 @@
     {
         m_previous_addresses = std::move(it);
     }
+    /// Sets until when this agent is certain to lead; a switch is not begun shortly before.
+    void set_lease_end(timestamp at) { m_switch.set_lease_end(at); }
+    /// True when the group is neither held nor armed on behalf of this controller, so that it may
+    /// stop.
+    bool may_stop(timestamp now) const
+    {
+        return m_switch.is_at_rest(now) || current().phase == experts::switch_phase::prepare;
+    }
     /// Advances the switch, and plans a new one if it is worth its cost.
     void tick(timestamp now);
 
--- a/source/rank_agent/leadership.hpp
+++ b/source/rank_agent/leadership.hpp
@@ -28,6 +28,8 @@
     void resign() { step_down("resigned"); }
     /// Returns the fencing token while this process is certain to lead.
     std::optional<experts::fencing_token> token(common::timestamp now) const;
+    /// Until when the lease is certain to be valid if it is not renewed.
+    common::timestamp valid_until() const { return m_valid_until; }
 
 private:
     void step();
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -409,6 +409,8 @@
     }
     if (!m_controller->has_engine() && now - m_engine_requested_at >= engine_profile_period)
         request_engine_profile(now);
+    // An agent that shuts down finishes its switch but holds no further pass.
+    m_controller->set_lease_end(m_shutting_down ? now : m_leadership->valid_until());
     send_beacons(now);
     advance_switch(now);
     take_over_silent_agents(now);
@@ -483,7 +485,7 @@
         request_report();
     if (!m_totals_call && now - m_totals_requested_at >= experts::min_counts_interval)
         request_selection_totals();
-    if (m_shutting_down && (!m_controller || m_controller->is_at_rest(now) ||
+    if (m_shutting_down && (!m_controller || m_controller->may_stop(now) ||
                             now - m_shutdown_began_at > max_shutdown_time))
         m_loop.stop();
 }
--- a/source/unit_tests/experts/switch_controller_test.cpp
+++ b/source/unit_tests/experts/switch_controller_test.cpp
@@ -51,8 +51,8 @@
         controller.tick(now);
     }
 
-    /// Starts a switch and advances it to the hold phase.
-    void begin_hold()
+    /// Starts a switch and lets all ranks prepare it.
+    void prepare_all()
     {
         report_all();
         const auto map = std::make_shared<const expert_map>(expert_map{{{{0}, {1}, {2}}}});
@@ -60,6 +60,12 @@
         for (auto& it : statuses)
             it.report.prepared = controller.current().version;
         report_all();
+    }
+
+    /// Starts a switch and advances it to the hold phase.
+    void begin_hold()
+    {
+        prepare_all();
         cr_assert(controller.current().phase == switch_phase::hold);
     }
 };
@@ -129,3 +135,28 @@
     cr_assert_null(g.controller.directive_for(1).map.get());
     cr_assert_not_null(g.controller.directive_for(2).map.get());
 }
+
+/// Load pattern: the store does not answer, so the lease can't be renewed. A hold that is in force
+/// when the lease ends stops the group until another controller leads, 2 s or more.
+Test(switch_controller, holds_no_pass_when_the_lease_ends_soon)
+{
+    group g;
+    g.controller.set_lease_end(g.now + milliseconds{200});
+    g.prepare_all();
+    cr_assert(g.controller.current().phase == switch_phase::prepare);
+    g.controller.set_lease_end(g.now + milliseconds{1400});
+    g.report_all();
+    cr_assert(g.controller.current().phase == switch_phase::hold, "the lease was renewed");
+}
+
+Test(switch_controller, repeats_no_hold_when_the_lease_ends_soon)
+{
+    group g;
+    g.begin_hold();
+    const auto first = g.controller.current().pass;
+    for (auto& it : g.statuses)
+        it.report.pass = first;
+    g.controller.set_lease_end(g.now + milliseconds{200});
+    g.report_all();
+    cr_assert(g.controller.current().phase == switch_phase::release);
+}
