--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -14,9 +14,9 @@
 constexpr int http_ok = 200;
 constexpr int first_server_error = 500;
 constexpr milliseconds connect_timeout{700};
-/// A request that must not be sent twice reuses an idle connection only for this long after its
-/// last response, since the target may be about to close an older one.
-constexpr milliseconds max_idle_unless_retried{800};
+/// A request that is not idempotent reuses an idle connection only for this long after its last
+/// response, since the target may be about to close an older one.
+constexpr milliseconds max_idle_for_non_idempotent{800};
 constexpr milliseconds max_idle{30'000};
 /// The largest response body that is buffered before it is forwarded.
 constexpr std::size_t max_response_body_bytes = std::size_t{16} << 20;
@@ -46,7 +46,7 @@
     m_call = m_gateway.client().send(
         m_options.target.address, request, std::move(events),
         {.connect_timeout = connect_timeout,
-         .max_idle = m_options.is_safe_to_retry ? max_idle : max_idle_unless_retried,
+         .max_idle = m_options.is_idempotent ? max_idle : max_idle_for_non_idempotent,
          .accept_close_delimited = true});
 }
 
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -45,9 +45,9 @@
         fleet::target target;
         std::string request_id;
         bool expects_stream = false;
-        /// A request that must not be sent twice must not use a connection that the target may be
+        /// A request that is not idempotent must not use a connection that the target may be
         /// about to close.
-        bool is_safe_to_retry = false;
+        bool is_idempotent = false;
         milliseconds time_left{0};
     };
 
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -152,7 +152,7 @@
     m_attempt = std::make_unique<attempt>(
         m_gateway, *this,
         attempt::options{it, m_caller.id, fleet::is_stream(m_route->kind),
-                         fleet::is_safe_to_retry(m_route->kind), time_left},
+                         m_route->kind == fleet::call_kind::idempotent, time_left},
         request);
     common::log(common::log_level::debug, "attempt_sent",
                 {{"id", m_caller.id}, {"target", it.id}, {"attempt", m_attempts.sent()}});
