--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -66,9 +66,11 @@
 
 bool exchange::is_on_slow_target(const attempt& it, timestamp now) const
 {
-    if (m_route->kind != fleet::call_kind::resumable_stream || !m_last_event_at)
+    if (m_route->kind != fleet::call_kind::resumable_stream)
         return false;
-    const auto current = std::chrono::duration_cast<milliseconds>(now - *m_last_event_at);
+    // A stream whose prompt is still being read holds up the group as well.
+    const auto since = m_last_event_at.value_or(it.started());
+    const auto current = std::chrono::duration_cast<milliseconds>(now - since);
     return m_gateway.service(m_service).latency.should_empty(
         m_gateway.slowdown_of(it.target()), std::max(m_last_gap, current), m_route->gap_goal);
 }
