Empty a slow rank only when it adds much and gets no further streams

A stream waits longer than the goal for gaps until its first event, so slightly slow ranks (1.15 times and more), to which placement still sends streams, gave each of them away again at once and used up the retry budget. A rank is now emptied only when placement sends it nothing, and when it adds a quarter of the goal or more to each pass.

Test: never_empties_an_engine_that_still_gets_streams.

--- a/source/core/policy/engine_latency_model.cpp
+++ b/source/core/policy/engine_latency_model.cpp
@@ -49,8 +49,11 @@
     if (!has_engine() || slowdown <= 1 || max_gap.count() == 0 || event_gap <= max_gap)
         return false;
     const auto added_ms = slowdown * predicted_pass_ms(1) - predicted_pass_ms(m_streams);
+    const auto goal_ms = static_cast<double>(max_gap.count());
     const auto excess_ms = static_cast<double>((event_gap - max_gap).count());
-    return added_ms > 0 && added_ms >= m_options.min_part_of_excess * excess_ms;
+    return added_ms >= m_options.min_part_of_goal * goal_ms &&
+           added_ms >= m_options.min_part_of_excess * excess_ms &&
+           max_streams_at_slowdown(slowdown) == 0;
 }
 
 void engine_latency_model::record_first_event_latency(milliseconds after)
--- a/source/core/policy/engine_latency_model.hpp
+++ b/source/core/policy/engine_latency_model.hpp
@@ -23,6 +23,9 @@
     /// exceed the goal. Causes that last for one pass, such as a switch of maps, are much longer
     /// than what a slightly slow engine adds.
     double min_part_of_excess = 0.5;
+    /// It must also add at least this part of the goal to each pass, since a stream that moves has
+    /// a long gap itself.
+    double min_part_of_goal = 0.25;
     /// The smoothing factor of the time to the first event, and the number of mean deviations that
     /// are added to it as a margin.
     double first_event_weight = 0.05;
@@ -70,7 +73,8 @@
     double max_streams_at_slowdown(double slowdown) const;
     /// True when a slow engine should be left without streams. `event_gap` is the gap that the
     /// streams of its group have now. The group waits for a slow engine as long as that has one
-    /// stream, so this is true when the gap exceeds `max_gap` and the engine causes enough of it.
+    /// stream, so this is true when the gap exceeds `max_gap`, the engine causes enough of it, and
+    /// no further streams are sent to it either.
     bool should_empty(double slowdown, milliseconds event_gap, milliseconds max_gap) const;
     /// Records the time from sending a run to its engine until its first event.
     void record_first_event_latency(milliseconds after);
--- a/source/unit_tests/policy/engine_latency_model_test.cpp
+++ b/source/unit_tests/policy/engine_latency_model_test.cpp
@@ -210,3 +210,21 @@
     model.tick(8);
     cr_assert_not(model.should_empty(1.6, gap_goal * 4, gap_goal));
 }
+
+/// Guards against streams that are sent to a slightly slow engine and taken away again at once: a
+/// stream that waits for its first event always waits longer than the goal for gaps.
+Test(engine_latency_model, never_empties_an_engine_that_still_gets_streams)
+{
+    for (const double streams : {1.0, 2.0, 4.0, 8.0})
+    {
+        for (const double slowdown : {1.15, 1.3, 1.6, 2.0, 3.0, 4.0, 12.0})
+        {
+            engine_latency_model model;
+            model.set_engine(engine());
+            model.tick(streams);
+            const auto just_over = gap_goal + milliseconds{1};
+            if (model.max_streams_at_slowdown(slowdown) > 0)
+                cr_assert_not(model.should_empty(slowdown, just_over, gap_goal));
+        }
+    }
+}
