--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -411,15 +411,10 @@
         request_engine_profile(now);
     // An agent that shuts down finishes its switch but holds no further pass.
     m_controller->set_lease_end(m_shutting_down ? now : m_leadership->valid_until());
-    send_beacons(now);
-    advance_switch(now);
-    take_over_silent_agents(now);
-}
-
-void rank_agent::send_beacons(timestamp now)
-{
     for (const auto& it : m_controller->take_due_beacons(now))
         m_messenger.send(it.address, it.message);
+    advance_switch(now);
+    take_over_silent_agents(now);
 }
 
 void rank_agent::advance_switch(timestamp now)
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -78,7 +78,6 @@
     void discard_base_map(const experts::map_delta& delta, experts::map_version version);
     void cache_initial_map();
     experts::link_budget link() const;
-    void send_beacons(common::timestamp now);
     void write_metrics(common::timestamp now);
     void send_due_order();
     void run_controller(common::timestamp now);
