--- a/source/core/experts/rank_driver.cpp
+++ b/source/core/experts/rank_driver.cpp
@@ -146,7 +146,10 @@
     {
     case order_outcome::accepted:
         if (ended.kind == order_kind::prepare)
-            begin_copying(ended.version, now);
+        {
+            m_copying_version = ended.version;
+            m_copying_since = now;
+        }
         // All earlier orders have lower fences.
         if (m_checks_fences)
             m_late_orders_until = now;
@@ -154,27 +157,15 @@
         return;
     case order_outcome::unknown:
         m_late_orders_until = now + max_order_delay;
-        if (ended.kind == order_kind::prepare)
-            m_unanswered_prepare = ended.version;
         return;
     case order_outcome::fenced:
         m_was_fenced = true;
         return;
     case order_outcome::conflict:
-        // The rank refuses a version that it is copying already: the unanswered order was executed.
-        if (ended.kind == order_kind::prepare && may_have_late_orders(now) &&
-            m_unanswered_prepare == ended.version)
-            begin_copying(ended.version, now);
         return;
     }
 }
 
-void rank_driver::begin_copying(map_version version, timestamp now)
-{
-    m_copying_version = version;
-    m_copying_since = now;
-}
-
 /// Updates the report with the effect of an accepted order, so that no new one is needed. Not
 /// possible for `prepare`, because copying takes time, nor for an order that only fences, because
 /// its acceptance does not show the rank's state.
--- a/source/core/experts/rank_driver.hpp
+++ b/source/core/experts/rank_driver.hpp
@@ -52,7 +52,6 @@
     std::optional<rank_order> disarm_order(timestamp now);
     std::optional<rank_order> fence_order(timestamp now);
     bool is_copying(timestamp now) const;
-    void begin_copying(map_version version, timestamp now);
     void apply_accepted(const rank_order& it);
     rank_order make_order(order_kind kind);
 
@@ -73,8 +72,6 @@
     /// The version that the rank is copying experts for, and when it accepted the order.
     map_version m_copying_version = 0;
     timestamp m_copying_since;
-    /// The version of the last prepare order that got no answer.
-    map_version m_unanswered_prepare = 0;
 };
 
 } // namespace kumquatgap::experts
