--- a/source/ctl/main.cpp
+++ b/source/ctl/main.cpp
@@ -38,7 +38,7 @@
                                  "  kqgctl delete KIND NAME [--version_is=N]\n"
                                  "  kqgctl watch KIND\n"
                                  "  kqgctl status\n"
-                                 "Tells what log files know of a request.\n"
+                                 "Shows what log files contain about a request.\n"
                                  "  kqgctl explain REQUEST_ID --logs=FILE,FILE");
     absl::FlagsUsageConfig usage_config;
     usage_config.version_string = [] { return std::string{"kqgctl 0.1.0\n"}; };
--- a/tests/failures/process.hpp
+++ b/tests/failures/process.hpp
@@ -24,7 +24,7 @@
     /// Waits for its end; the exit status, or 128 and the number of the signal that ended it.
     int wait();
     bool has_ended();
-    /// How it ended, as wait() tells; 0 before that.
+    /// The exit status that wait() has returned; 0 before that.
     int status() const { return m_status; }
     pid_t id() const { return m_id; }
 
--- a/tests/failures/whole_answer_test.cpp
+++ b/tests/failures/whole_answer_test.cpp
@@ -94,7 +94,7 @@
     const auto frozen = "agent-" + busy_engine(d);
     d.at(frozen).signal(SIGSTOP);
     check_whole(d, *it, "p");
-    // What the frozen agent still has to say reaches nobody.
+    // The remaining bytes of the frozen agent are discarded.
     d.at(frozen).signal(SIGCONT);
     const auto next = d.call(d.address("router-0"), chat("q", tokens, true));
     check_text(next.text(), expected_text("q", tokens));
--- a/tests/platform/gateway_state_test.cpp
+++ b/tests/platform/gateway_state_test.cpp
@@ -216,7 +216,7 @@
     cr_assert(deployment.wait_ready());
     for (int i = 0; i < 20; ++i)
         cr_assert_eq(serving_target(deployment), "t-3");
-    cr_assert_leq(wrong, 3, "each was told once: %d", wrong);
+    cr_assert_leq(wrong, 3, "each target answered 421 at most once: %d", wrong);
 }
 
 Test(gateway_state, gateway_cut_off_from_store_updated_by_peers)
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -60,7 +60,7 @@
     m_broken.push_back(common::concat("seed ", m_seed, ": ", what));
 }
 
-/// Adds what the gateway's log tells of the call.
+/// Adds the lines of the gateway's log about the call.
 void soak_world::broke(const call& it, const std::string& what)
 {
     broke(common::concat(it.id, " ", it.path, " at gateway ", it.gateway, " ", what));
--- a/tests/stand_ins/engine_main.cpp
+++ b/tests/stand_ins/engine_main.cpp
@@ -129,7 +129,7 @@
         it.end = body.value("max_tokens", 16);
         if (body.value("continue_final_message", false))
         {
-            // Each token of the stand-in ends with a space, so the spaces tell how many there are.
+            // Each token of the stand-in ends with a space, so the spaces are counted.
             const auto given = messages.back().value("content", "");
             it.next = std::ranges::count(given, ' ');
             it.end += it.next;
