--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -5,6 +5,7 @@
 : "${FLEETBENCH:?the path of the bench\'s program}"
 : "${SITES:?the folder of the sites}"
 sites=(
+  shifted/tuuz-router-now-grown
   large/tuuz-router-large
   further/oosterhout-twin
   further-grown/oosterhout-twin-grown
