Log which parts of a prompt a failed attempt had, and whether its head arrived

The parts of a prompt are decoded in the adapter; attempt_failed has two more fields. No decision changes.

--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -63,6 +63,8 @@
     /// an incomplete event don't count.
     timestamp last_activity() const { return m_last_activity; }
     bool has_started_stream() const { return m_is_stream; }
+    /// True once the response head has arrived.
+    bool has_head() const { return m_status != 0; }
     /// True when the target may have received the request.
     bool may_have_reached_target() const { return m_call && m_call->may_have_been_sent(); }
     void pause_reading(bool on);
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -3,6 +3,8 @@
 #include "common/log.hpp"
 #include "common/text.hpp"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 
 namespace kumquatgap::gateway
@@ -247,7 +249,9 @@
                                        {"end", io::name_of(it.connection_end())},
                                        {"status", answer.status},
                                        {"fault", it.failed_member()},
+                                       {"has_head", it.has_head() ? 1 : 0},
                                        {"events", m_event_count},
+                                       {"parts", absl::StrJoin(m_caller.prompt_parts, ",")},
                                        {"ms", elapsed_ms(it.started(), common::now())}},
                                       common::now());
     if (outcome == attempt_outcome::answered)
--- a/source/gateway/protocol_adapter.hpp
+++ b/source/gateway/protocol_adapter.hpp
@@ -29,6 +29,9 @@
     std::string last_event_id;
     double prompt_tokens = 0;
     double completion_tokens = 0;
+    /// Ids of the parts of the prompt, in order. Requests share parts, but the last one belongs to
+    /// the request or its session alone.
+    std::vector<std::string> prompt_parts;
 };
 
 /// What the gateway adds to a request that it forwards to a target.
