--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -172,7 +172,24 @@
 
 scripted_target::~scripted_target()
 {
-    evconnlistener_free(m_listener);
+    if (m_listener != nullptr)
+        evconnlistener_free(m_listener);
+}
+
+void scripted_target::crash()
+{
+    // Deferred, since a script runs inside a callback of its connection.
+    m_loop.defer(
+        [this]
+        {
+            if (has_crashed())
+                return;
+            evconnlistener_free(m_listener);
+            m_listener = nullptr;
+            const auto open = m_connections;
+            for (const auto& it : open)
+                it->reset();
+        });
 }
 
 void scripted_target::accepted(evconnlistener* /*listener*/, int fd, sockaddr* /*address*/,
--- a/tests/stand_ins/scripted_target.hpp
+++ b/tests/stand_ins/scripted_target.hpp
@@ -45,6 +45,9 @@
 
     const std::string& address() const { return m_address; }
     void set_script(script fn) { m_script = std::move(fn); }
+    /// Resets all connections and refuses new ones from now on, as after the end of a process.
+    void crash();
+    bool has_crashed() const { return m_listener == nullptr; }
     /// All requests that have come, in their order.
     const std::vector<io::http_request>& requests() const { return m_requests; }
     std::size_t connections_accepted() const { return m_accepted; }
