Keep prompts with a part that crashes targets away from them

Cause: a lost connection told a gateway something about the target only. Nothing remembered what the lost requests had in common, so each new request with the part, and each further attempt at one, ended another target. Class: a request that crashes what handles it (query of death), where retries and new arrivals spread it.

Why this works: policy/crash_attribution blames only parts of requests that the target had begun to answer, and of these only parts that no gateway ever saw served. One such part is quarantined after the first crash that is confirmed (the target is probed, since without further calls nothing would show it); several are tried one call at a time, all gateways in turn. Until then calls with such a part wait. Where engines send heads early, which is measured, a part needs three crashes. Gateways share the evidence in their datagrams and store the conclusion under a lease, so it survives restarts; a part that is served, or whose key an operator removes, is released.

--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -47,6 +47,8 @@
     {wrong_target, "wrong_target", 503, not_run, "The agent does not serve this service."},
     {router_full, "router_full", 429, not_run, "This router has reached its open call limit."},
     {target_busy, "target_busy", 503, not_run, "The target has asked to be left alone for a time."},
+    {prompt_quarantined, "prompt_quarantined", 503, not_run,
+     "A part of the prompt has crashed targets."},
 
     {outcome_unknown, "outcome_unknown", 504, unknown,
      "The call may have run; its answer was lost."},
--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -51,6 +51,7 @@
     wrong_target = 2010,
     router_full = 2011,
     target_busy = 2012,
+    prompt_quarantined = 2013,
 
     outcome_unknown = 3001,
     in_progress = 3002,
--- a/source/core/fleet/configuration.cpp
+++ b/source/core/fleet/configuration.cpp
@@ -64,6 +64,12 @@
     return nullptr;
 }
 
+std::string configuration::health_path(const std::string& name) const
+{
+    const auto it = services.find(name);
+    return it == services.end() ? std::string{} : it->second.health_path;
+}
+
 const team* configuration::find_team(const std::string& key) const
 {
     const auto it = m_teams_by_key.find(key);
--- a/source/core/fleet/configuration.hpp
+++ b/source/core/fleet/configuration.hpp
@@ -150,6 +150,8 @@
     const route* find_route(std::string_view host, std::string_view path) const;
     /// The team that a key belongs to.
     const team* find_team(const std::string& key) const;
+    /// The path of a service's health check; empty when it has none.
+    std::string health_path(const std::string& name) const;
     std::size_t route_count() const { return m_routes.size(); }
 
 private:
--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -80,13 +80,24 @@
     return out;
 }
 
+bool target_table::owns_address(const target& it) const
+{
+    const auto claims = m_claims.find(it.address);
+    return claims != m_claims.end() && claims->second.rbegin()->second == it.id;
+}
+
 /// True for a target whose entry is valid, that owns its address and is not draining.
 bool target_table::is_in_service(const row& r, timestamp now) const
 {
-    const auto claims = m_claims.find(r.entry.address);
-    const bool is_owner = claims != m_claims.end() && claims->second.rbegin()->second == r.entry.id;
-    return is_owner && !r.entry.is_draining && !m_notices.is_draining(r.entry.id, now) &&
-           (!r.kept_until || now < *r.kept_until);
+    return owns_address(r.entry) && !r.entry.is_draining &&
+           !m_notices.is_draining(r.entry.id, now) && (!r.kept_until || now < *r.kept_until);
+}
+
+bool target_table::is_registered(const std::string& id, std::int64_t started_at) const
+{
+    const auto it = m_rows.find(id);
+    return it != m_rows.end() && it->second.entry.started_at == started_at &&
+           !it->second.kept_until && owns_address(it->second.entry);
 }
 
 bool target_table::is_usable(const row& r, timestamp now) const
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -83,6 +83,8 @@
     const target* find_usable(const std::string& id, timestamp now) const;
     /// All targets of a service that accept new calls, by id.
     std::vector<const target*> usable(std::string_view service, timestamp now) const;
+    /// True while this start of a target has an entry, and no newer entry claims its address.
+    bool is_registered(const std::string& id, std::int64_t started_at) const;
     std::size_t size() const { return m_rows.size(); }
 
 private:
@@ -93,6 +95,7 @@
         std::optional<timestamp> kept_until;
     };
 
+    bool owns_address(const target& it) const;
     bool is_in_service(const row& r, timestamp now) const;
     bool is_usable(const row& r, timestamp now) const;
     void drop_claim(const target& it);
--- a/source/core/policy/admission_queue.cpp
+++ b/source/core/policy/admission_queue.cpp
@@ -90,11 +90,16 @@
     return a_in_time ? a.in_time_until < b.in_time_until : a.deadline < b.deadline;
 }
 
-std::optional<std::uint64_t> admission_queue::next(timestamp now) const
+std::optional<std::uint64_t>
+admission_queue::next(timestamp now, const std::function<bool(std::uint64_t)>& may_start) const
 {
-    const auto it = std::ranges::min_element(m_calls, [&](const auto& a, const auto& b)
-                                             { return goes_before(a.second, b.second, now); });
-    return it == m_calls.end() ? std::nullopt : std::optional{it->first};
+    const waiting_call* best = nullptr;
+    for (const auto& [id, it] : m_calls)
+    {
+        if ((best == nullptr || goes_before(it, *best, now)) && may_start(id))
+            best = &it;
+    }
+    return best == nullptr ? std::nullopt : std::optional{best->id};
 }
 
 void admission_queue::started(std::uint64_t id, timestamp now)
--- a/source/core/policy/admission_queue.hpp
+++ b/source/core/policy/admission_queue.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -65,8 +66,13 @@
     std::optional<milliseconds> offer(const waiting_call& call, timestamp now, double draw);
     /// Puts a call back that a target refused without executing it.
     void requeue(const waiting_call& call, timestamp now);
-    /// The call to start next; it stays in the queue.
-    std::optional<std::uint64_t> next(timestamp now) const;
+    /// The call to start next among those for which `may_start` is true; it stays in the queue.
+    std::optional<std::uint64_t> next(timestamp now,
+                                      const std::function<bool(std::uint64_t)>& may_start) const;
+    std::optional<std::uint64_t> next(timestamp now) const
+    {
+        return next(now, [](std::uint64_t) { return true; });
+    }
     /// The call has started.
     void started(std::uint64_t id, timestamp now);
     void remove(std::uint64_t id) { m_calls.erase(id); }
--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -28,7 +28,7 @@
 attempt::attempt(gateway& owner, attempt_listener& listener, options how,
                  const io::http_request& request)
     : m_gateway{owner}, m_listener{listener}, m_options{std::move(how)}, m_started{common::now()},
-      m_last_activity{m_started}, m_events{max_event_bytes}
+      m_last_activity{m_started}, m_head_at{m_started}, m_events{max_event_bytes}
 {
     m_gateway.service(m_options.target.service).picker.sent(m_options.target.id, 1);
     io::call_events events{
@@ -81,6 +81,7 @@
 void attempt::handle_head(const io::http_response& head)
 {
     m_last_activity = common::now();
+    m_head_at = m_last_activity;
     m_head = m_gateway.adapter().read_response(head);
     m_gateway.apply_target_notices(m_options.target, m_head);
     m_status = head.status;
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -65,6 +65,8 @@
     bool has_started_stream() const { return m_is_stream; }
     /// True once the response head has arrived.
     bool has_head() const { return m_status != 0; }
+    /// When the response head arrived, or the start of the attempt before that.
+    timestamp head_at() const { return m_head_at; }
     /// True when the target may have received the request.
     bool may_have_reached_target() const { return m_call && m_call->may_have_been_sent(); }
     void pause_reading(bool on);
@@ -96,6 +98,7 @@
     options m_options;
     timestamp m_started;
     timestamp m_last_activity;
+    timestamp m_head_at;
     target_response m_head;
     int m_status = 0;
     io::call_outcome m_end = io::call_outcome::complete;
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -102,6 +102,9 @@
     if (!common::parse_number(std::string_view{m_last_event_id}, m_last_event_number))
         m_last_event_number = -1;
     m_service = fleet::pick_service(*m_route, m_gateway.random());
+    m_shared_parts = crash_guard::shared_parts(m_service, m_caller.prompt_parts);
+    if (is_quarantined())
+        return refuse_quarantined();
     m_gateway.retry_budget().record_call(m_service, m_arrived_at);
     const auto retry_after =
         m_gateway.service(m_service).queue.offer(queue_entry(), m_arrived_at, m_gateway.random());
@@ -216,7 +219,11 @@
             common::concat("kqg_run_first_event_ms{service=\"", m_service, "\"}"),
             static_cast<double>(elapsed_ms(it.started(), now)));
     }
-    if (m_last_event_at)
+    if (!m_last_event_at)
+        m_gateway.crashes().attribution().record_served(
+            m_shared_parts, std::chrono::duration_cast<milliseconds>(it.head_at() - it.started()),
+            std::chrono::duration_cast<milliseconds>(now - it.started()), now);
+    else
     {
         m_last_gap = std::chrono::duration_cast<milliseconds>(now - *m_last_event_at);
         state.latency.record_event_gap(m_last_gap);
@@ -256,6 +263,7 @@
                                       common::now());
     if (outcome == attempt_outcome::answered)
         return handle_response(it, answer);
+    report_loss(it, outcome);
     if (outcome == attempt_outcome::other_target)
         m_gateway.release_address(it.target().id);
     if (outcome == attempt_outcome::refused_unrun && it.indicates_service_outage())
@@ -358,6 +366,48 @@
     end("request_refused", code, common::info(code).http_status);
 }
 
+bool exchange::is_quarantined() const
+{
+    return !m_last_event_at && m_gateway.crashes().attribution().judge(m_shared_parts) ==
+                                   policy::part_verdict::quarantined;
+}
+
+void exchange::refuse_quarantined()
+{
+    const auto left =
+        m_gateway.crashes().attribution().quarantine_left(m_shared_parts, common::now());
+    const common::failure why{result_code::prompt_quarantined, "", left};
+    m_responder->reply(m_gateway.adapter().error_response(why));
+    end("request_refused", why.code, common::info(why.code).http_status);
+}
+
+/// Ends a call that is queued or that its target has not begun to answer.
+void exchange::handle_quarantine()
+{
+    if (m_is_queued)
+        m_gateway.service(m_service).queue.remove(m_number);
+    m_is_queued = false;
+    if (m_attempt && m_attempt->may_have_reached_target())
+        m_attempts.end(attempt_outcome::unknown);
+    if (m_attempt)
+        m_attempt->cancel(target_health::unknown);
+    if (m_attempts.is_certainly_not_executed() && !m_responder->is_started())
+        return refuse_quarantined();
+    fail(result_code::outcome_unknown, common::info(result_code::prompt_quarantined).name.data());
+}
+
+void exchange::report_loss(const attempt& it, attempt_outcome outcome)
+{
+    if (m_last_event_at)
+        return;
+    auto& crashes = m_gateway.crashes();
+    if (outcome == attempt_outcome::not_sent)
+        crashes.record_gone(it.target(), common::now());
+    else if (outcome == attempt_outcome::unknown && it.connection_end() == io::call_outcome::cut)
+        crashes.record_lost(it.target(), m_configuration->health_path(m_service), m_shared_parts,
+                            it.has_head(), m_caller.id, common::now());
+}
+
 milliseconds exchange::retry_after_time() const
 {
     const auto now = common::now();
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -27,6 +27,8 @@
     std::uint64_t number() const { return m_number; }
     /// Targets to which this call must not be sent again.
     const std::set<std::string>& tried_targets() const { return m_tried; }
+    /// The parts of the prompt that other calls may have too, as keys of the crash guard.
+    const std::vector<std::string>& shared_parts() const { return m_shared_parts; }
     /// The route's target for the longest gap between two events; 0 for none.
     milliseconds gap_goal() const { return m_route->gap_goal; }
     /// Checks the request, and refuses or queues it.
@@ -67,6 +69,12 @@
     void forward_response(const io::http_response& response);
     void finish_stream();
     void handle_deadline();
+    /// True before the first event of a call with a part that crashes targets.
+    bool is_quarantined() const;
+    void handle_quarantine();
+    void refuse_quarantined();
+    /// Feeds the crash guard with an attempt that ended without an event.
+    void report_loss(const attempt& it, fleet::attempt_outcome outcome);
     void fail(common::result_code code, const std::string& detail);
     void refuse(common::result_code code, const std::string& detail);
     /// The Retry-After of a refused call: not before a target accepts calls again.
@@ -87,6 +95,7 @@
     std::string m_team;
     int m_priority = 0;
     std::string m_service;
+    std::vector<std::string> m_shared_parts;
     timestamp m_arrived_at;
     timestamp m_deadline;
     std::optional<timestamp> m_first_sent_at;
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -79,6 +79,8 @@
 {
     if (m_ended)
         return;
+    if (is_quarantined())
+        return handle_quarantine();
     if (now >= m_deadline)
         return handle_deadline();
     if (!m_attempt)
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -70,10 +70,12 @@
     : m_loop{loop}, m_client{client}, m_store{store}, m_adapter{adapter},
       m_settings{std::move(settings)}, m_follower{loop, store, adapter, m_settings.common},
       m_load_broadcast{loop, m_settings.common.host, m_settings.common.deployment_token,
-                       [this](const std::string& peer, const load_broadcast::peer_state& it)
+                       [this](const std::string& peer, const peer_state& it)
                        { handle_peer_state(peer, it); }},
-      m_retry_budget{m_settings.retries}, m_success_log{"answered", success_lines_per_second},
-      m_failure_log{"refused_or_failed", failure_lines_per_second},
+      m_retry_budget{m_settings.retries}, m_crash_guard{store, client, adapter,
+                                                        m_settings.common.host},
+      m_success_log{"answered", success_lines_per_second}, m_failure_log{"refused_or_failed",
+                                                                         failure_lines_per_second},
       m_server{loop,
                {},
                [this](io::received_request received, io::responder_ptr responder)
@@ -112,6 +114,8 @@
     m_settings_follower = std::make_unique<shell::settings_follower>(
         m_loop, shell::settings_path(), [this](const std::string& text) { reload_settings(text); });
     m_follower.on_change([this] { handle_state_change(); });
+    m_follower.on_entry(std::string{quarantine_prefix}, [this](const auto& part, bool is_present)
+                        { m_crash_guard.handle_entry(part, is_present, common::now()); });
     m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
     m_store_calls_timer =
         m_loop.every(store_calls_log_period, [this] { m_store.counts().log_totals(); });
@@ -122,13 +126,15 @@
     return 0;
 }
 
-void gateway::handle_peer_state(const std::string& peer, const load_broadcast::peer_state& it)
+void gateway::handle_peer_state(const std::string& peer, const peer_state& it)
 {
     const auto now = common::now();
     for (auto& [service, state] : m_services)
         state.picker.update_peer_loads(peer, it.work, now);
     for (const auto& [id, started_at] : it.draining)
         m_follower.note_draining(id, started_at, peer);
+    if (!it.crashes.empty())
+        m_crash_guard.attribution().merge(it.crashes, now);
 }
 
 void gateway::apply_target_notices(const fleet::target& it, const target_response& head)
@@ -161,6 +167,7 @@
     m_store.counts().write_metrics(m_metrics);
     m_follower.write_metrics(m_metrics, now);
     m_load_broadcast.write_metrics(m_metrics, now);
+    m_crash_guard.write_metrics(m_metrics);
     for (const auto& it : m_services)
     {
         const auto& name = it.first;
@@ -218,6 +225,27 @@
     return state.picker.pick(candidates, it.tried_targets(), now, random());
 }
 
+/// False for a queued call whose prompt may crash its target.
+bool gateway::may_start(std::uint64_t id, timestamp now) const
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end())
+        return true;
+    const auto verdict = m_crash_guard.attribution().judge(found->second->shared_parts());
+    return verdict == policy::part_verdict::clear ||
+           (verdict == policy::part_verdict::suspect && is_own_trial_turn(now));
+}
+
+/// Gateways take turns with suspect calls in the order of their names.
+bool gateway::is_own_trial_turn(timestamp now) const
+{
+    const auto& peers = m_follower.peers();
+    const auto index = std::ranges::count_if(peers, [&](const auto& it)
+                                             { return it.name < m_settings.common.host; });
+    return m_crash_guard.attribution().is_own_turn(static_cast<std::size_t>(index),
+                                                   peers.size() + 1, now);
+}
+
 void gateway::dispatch(const std::string& name)
 {
     auto& state = m_services[name];
@@ -227,7 +255,7 @@
     {
         if (state.is_recovering && !state.picker.own_loads().empty())
             return;
-        const auto id = state.queue.next(now);
+        const auto id = state.queue.next(now, [&](std::uint64_t it) { return may_start(it, now); });
         if (!id)
             return;
         const auto found = m_exchanges.find(*id);
@@ -241,6 +269,9 @@
         if (target.empty())
             return;
         state.queue.started(*id, now);
+        auto& crashes = m_crash_guard.attribution();
+        if (crashes.judge(it->shared_parts()) == policy::part_verdict::suspect)
+            crashes.record_trial(now);
         it->send_to(*targets().find_usable(target, now));
     }
 }
@@ -248,6 +279,7 @@
 void gateway::tick()
 {
     const auto now = common::now();
+    m_crash_guard.tick(targets(), now, random());
     for (auto& [name, state] : m_services)
     {
         for (const auto id : state.queue.take_expired(now))
@@ -265,7 +297,8 @@
         it->check_timeouts(now);
     m_success_log.report(now);
     m_failure_log.report(now);
-    load_broadcast::peer_state own{{}, targets().draining_to_broadcast(now)};
+    peer_state own{
+        {}, targets().draining_to_broadcast(now), m_crash_guard.attribution().to_broadcast(now)};
     for (const auto& [name, state] : m_services)
         own.work.insert(state.picker.own_loads().begin(), state.picker.own_loads().end());
     m_load_broadcast.send(m_follower.peers(), own, now);
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "common/metrics.hpp"
 #include "fleet/configuration.hpp"
 #include "fleet/target_table.hpp"
+#include "gateway/crash_guard.hpp"
 #include "gateway/load_broadcast.hpp"
 #include "gateway/protocol_adapter.hpp"
 #include "gateway/state_follower.hpp"
@@ -89,6 +90,7 @@
     /// For refusals, failures and failed attempts.
     common::limited_log& failure_log() { return m_failure_log; }
     policy::windowed_retry_budget& retry_budget() { return m_retry_budget; }
+    crash_guard& crashes() { return m_crash_guard; }
     const fleet::target_table& targets() const { return m_follower.targets(); }
     /// How many times slower than normal the target runs; 1 when nothing is known.
     double slowdown_of(const fleet::target& it) const { return m_follower.slowdown_of(it.address); }
@@ -118,12 +120,14 @@
 
 private:
     void handle_request(io::received_request received, io::responder_ptr responder);
-    void handle_peer_state(const std::string& peer, const load_broadcast::peer_state& it);
+    void handle_peer_state(const std::string& peer, const peer_state& it);
     void refuse_unreachable_deadlines(const std::string& name, service_state& state, timestamp now);
     void write_metrics(timestamp now);
     void handle_admin_request(const io::received_request& received, io::responder& responder);
     std::string pick_target(const std::string& name, service_state& state, const exchange& it,
                             timestamp now);
+    bool may_start(std::uint64_t id, timestamp now) const;
+    bool is_own_trial_turn(timestamp now) const;
     void tick();
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
     void update_latency_model(const std::string& name, service_state& state, timestamp now);
@@ -141,6 +145,7 @@
     state_follower m_follower;
     load_broadcast m_load_broadcast;
     policy::windowed_retry_budget m_retry_budget;
+    crash_guard m_crash_guard;
     common::metrics m_metrics;
     common::limited_log m_success_log;
     common::limited_log m_failure_log;
--- a/source/gateway/load_broadcast.cpp
+++ b/source/gateway/load_broadcast.cpp
@@ -5,15 +5,9 @@
 #include "common/text.hpp"
 #include "policy/load_broadcast_interval.hpp"
 
-#include <nlohmann/json.hpp>
-
-#include <vector>
-
 namespace kumquatgap::gateway
 {
 
-using nlohmann::json;
-
 namespace
 {
 
@@ -44,12 +38,9 @@
         return;
     m_last_sent = own;
     m_sent_at = now;
-    json message = {{"token", m_token}, {"name", m_name}, {"loads", own.work}};
-    if (!own.draining.empty())
-        message["leaving"] = own.draining;
-    const auto bytes = json::to_cbor(message);
+    const auto bytes = to_bytes({m_name, own}, m_token, now);
     for (const auto& it : to)
-        m_socket.send(it.address, {reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+        m_socket.send(it.address, bytes);
 }
 
 void load_broadcast::write_metrics(common::metrics& m, common::timestamp now) const
@@ -61,20 +52,11 @@
 
 void load_broadcast::receive(std::string_view bytes)
 {
-    const auto message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    try
-    {
-        if (!message.is_discarded() && message.at("token") == m_token)
-        {
-            const std::string name = message.at("name");
-            m_received_at.insert_or_assign(name, common::now());
-            return m_handler(name, {message.at("loads").get<loads>(),
-                                    message.value("leaving", fleet::draining_targets{})});
-        }
-    }
-    catch (const json::exception& e)
+    const auto now = common::now();
+    if (const auto it = read_peer_message(bytes, m_token, now))
     {
-        common::log(common::log_level::debug, "load_message_malformed", {{"reason", e.what()}});
+        m_received_at.insert_or_assign(it->sender, now);
+        return m_handler(it->sender, it->state);
     }
     common::log(common::log_level::warn, "load_message_refused",
                 {{"code", common::number(common::result_code::bad_message)}});
--- a/source/gateway/load_broadcast.hpp
+++ b/source/gateway/load_broadcast.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/metrics.hpp"
-#include "fleet/target_notices.hpp"
+#include "gateway/peer_message.hpp"
 #include "io/datagram_socket.hpp"
 #include "io/event_loop.hpp"
 #include "membership/gossip_node.hpp"
@@ -14,23 +14,11 @@
 namespace kumquatgap::gateway
 {
 
-/// Sends this gateway's load at each target and the targets that it knows to be draining to all
-/// other gateways, and receives theirs. An unchanged empty state is not sent again, so an idle
-/// gateway sends nothing.
+/// Sends this gateway's state to all other gateways, and receives theirs. An unchanged empty state
+/// is not sent again, so an idle gateway sends nothing.
 class load_broadcast
 {
 public:
-    using loads = std::map<std::string, double>;
-    /// The state that one gateway sends to the others.
-    struct peer_state
-    {
-        /// Load by target id.
-        loads work;
-        fleet::draining_targets draining;
-
-        bool operator==(const peer_state&) const = default;
-        bool empty() const { return work.empty() && draining.empty(); }
-    };
     using handler = std::function<void(const std::string& gateway, peer_state)>;
 
     load_broadcast(io::event_loop& loop, std::string name, std::string token, handler fn);
--- /dev/null
+++ b/source/gateway/peer_message.cpp
@@ -0,0 +1,97 @@
+#include "gateway/peer_message.hpp"
+
+#include "common/log.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace kumquatgap::gateway
+{
+
+using common::milliseconds;
+using common::timestamp;
+using nlohmann::json;
+
+namespace
+{
+
+using times = std::map<std::string, timestamp>;
+
+json to_ages(const times& from, timestamp now)
+{
+    auto out = json::object();
+    for (const auto& [key, at] : from)
+        out[key] = (now - at).count();
+    return out;
+}
+
+times from_ages(const json& from, timestamp now)
+{
+    times out;
+    for (const auto& [key, age] : from.items())
+        out.emplace(key, now - milliseconds{age.get<std::int64_t>()});
+    return out;
+}
+
+json to_json(const policy::crash_evidence& it, timestamp now)
+{
+    auto lost = json::object();
+    for (const auto& [target, crash] : it.crashes)
+        lost[target] = {{"age_ms", (now - crash.at).count()},
+                        {"confirmed", crash.is_confirmed},
+                        {"begun", crash.begun},
+                        {"waiting", crash.waiting}};
+    return {{"lost", std::move(lost)},
+            {"served", to_ages(it.served, now)},
+            {"quarantined", to_ages(it.quarantined, now)}};
+}
+
+policy::crash_evidence read_crashes(const json& from, timestamp now)
+{
+    using parts = std::set<std::string>;
+    policy::crash_evidence out;
+    for (const auto& [target, it] : from.at("lost").items())
+        out.crashes.emplace(target, policy::crash_evidence::crash{
+                                        now - milliseconds{it.at("age_ms").get<std::int64_t>()},
+                                        it.at("confirmed").get<bool>(), it.at("begun").get<parts>(),
+                                        it.at("waiting").get<parts>()});
+    out.served = from_ages(from.at("served"), now);
+    out.quarantined = from_ages(from.at("quarantined"), now);
+    return out;
+}
+
+} // namespace
+
+std::string to_bytes(const peer_message& it, const std::string& token, timestamp now)
+{
+    json message = {{"token", token}, {"name", it.sender}, {"loads", it.state.work}};
+    if (!it.state.draining.empty())
+        message["leaving"] = it.state.draining;
+    if (!it.state.crashes.empty())
+        message["crashes"] = to_json(it.state.crashes, now);
+    const auto bytes = json::to_cbor(message);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<peer_message> read_peer_message(std::string_view bytes, const std::string& token,
+                                              timestamp now)
+{
+    const auto message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    try
+    {
+        if (message.is_discarded() || message.at("token") != token)
+            return std::nullopt;
+        peer_message out{message.at("name"), {}};
+        out.state.work = message.at("loads").get<loads>();
+        out.state.draining = message.value("leaving", fleet::draining_targets{});
+        if (message.contains("crashes"))
+            out.state.crashes = read_crashes(message.at("crashes"), now);
+        return out;
+    }
+    catch (const json::exception& e)
+    {
+        common::log(common::log_level::debug, "load_message_malformed", {{"reason", e.what()}});
+    }
+    return std::nullopt;
+}
+
+} // namespace kumquatgap::gateway
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -199,8 +199,21 @@
         m_on_change();
 }
 
+/// Calls the handler of the key's prefix; false when there is none.
+bool state_follower::notify_entry_handler(const std::string& key, bool is_present)
+{
+    const auto it = std::ranges::find_if(m_entry_handlers, [&](const auto& entry)
+                                         { return key.starts_with(entry.first); });
+    if (it == m_entry_handlers.end())
+        return false;
+    it->second(key.substr(it->first.size()), is_present);
+    return true;
+}
+
 void state_follower::apply_written(const kv::key_value& it)
 {
+    if (notify_entry_handler(it.key, true))
+        return;
     if (m_adapter.is_configuration(it.key))
         return adopt_configuration(it);
     if (it.key.starts_with(gateways_prefix))
@@ -278,6 +291,8 @@
 
 void state_follower::apply_removed(const std::string& key)
 {
+    if (notify_entry_handler(key, false))
+        return;
     if (key.starts_with(fleet::slowdown_prefix))
     {
         m_slowdowns.erase(key.substr(fleet::slowdown_prefix.size()));
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -46,6 +46,12 @@
     kv::revision as_of() const { return m_gossip.replica().as_of(); }
     /// Calls fn after every change of the configuration or the targets.
     void on_change(std::function<void()> fn) { m_on_change = std::move(fn); }
+    /// Calls fn when a key with the prefix is written or removed, with the rest of the key and
+    /// whether it exists.
+    void on_entry(std::string prefix, std::function<void(const std::string&, bool)> fn)
+    {
+        m_entry_handlers.insert_or_assign(std::move(prefix), std::move(fn));
+    }
     void write_metrics(common::metrics& m, common::timestamp now) const;
 
 private:
@@ -60,6 +66,7 @@
     std::optional<common::timestamp> recent_outage_end(common::timestamp now) const;
     void apply_replica_changes();
     void apply_slowdown(const kv::key_value& it);
+    bool notify_entry_handler(const std::string& key, bool is_present);
     void apply_written(const kv::key_value& it);
     void apply_removed(const std::string& key);
     void adopt_configuration(const kv::key_value& it);
@@ -85,6 +92,7 @@
     std::map<std::string, std::string> m_gateway_addresses;
     std::vector<membership::peer> m_peers;
     std::function<void()> m_on_change;
+    std::map<std::string, std::function<void(const std::string&, bool)>> m_entry_handlers;
     std::unique_ptr<kv::watch> m_watch;
     kv::lease_id m_lease = 0;
     bool m_store_is_lost = false;
--- /dev/null
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -0,0 +1,93 @@
+#include "gateway/peer_message.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace kumquatgap;
+using gateway::peer_message;
+using gateway::peer_state;
+using gateway::read_peer_message;
+using gateway::to_bytes;
+
+namespace
+{
+
+constexpr common::timestamp now{common::milliseconds{1'000'000}};
+
+/// Messages that the release before crash evidence sent (commit 6ec6246), in hexadecimal.
+constexpr std::string_view s_old_loads =
+    "a3656c6f616473a263652d30fa4000000063652d31fa3f000000646e616d6569676174657761792d3165746f"
+    "6b656e6174";
+constexpr std::string_view s_old_draining =
+    "a4676c656176696e67a163652d371b000001a14628c83a656c6f616473a163652d30fa3f800000646e616d65"
+    "69676174657761792d3165746f6b656e6174";
+
+std::string from_hex(std::string_view text)
+{
+    constexpr int base = 16;
+    std::string out;
+    for (std::size_t i = 0; i + 1 < text.size(); i += 2)
+        out += static_cast<char>(std::stoi(std::string{text.substr(i, 2)}, nullptr, base));
+    return out;
+}
+
+peer_message with_crash()
+{
+    peer_state state{{{"e-0", 1.0}}, {}, {}};
+    state.crashes.crashes["e-1@5"] = {now - common::milliseconds{70}, true, {"s/p"}, {"s/q"}};
+    state.crashes.served["s/q"] = now - common::milliseconds{900};
+    state.crashes.quarantined["s/p"] = now - common::milliseconds{10};
+    return {"gateway-1", state};
+}
+
+} // namespace
+
+Test(peer_message, message_of_the_release_before_is_read)
+{
+    const auto it = read_peer_message(from_hex(s_old_draining), "t", now);
+    cr_assert(it.has_value());
+    cr_assert_eq(it->sender, "gateway-1");
+    cr_assert_eq(it->state.work.at("e-0"), 1.0);
+    cr_assert_eq(it->state.draining.at("e-7"), 1792178440250);
+    cr_assert(it->state.crashes.empty());
+}
+
+/// The release before reads what it knows: without crashes the bytes are the same, and with them
+/// its own fields are.
+Test(peer_message, message_for_the_release_before_is_unchanged)
+{
+    cr_assert_eq(to_bytes({"gateway-1", {{{"e-0", 2.0}, {"e-1", 0.5}}, {}, {}}}, "t", now),
+                 from_hex(s_old_loads));
+    cr_assert_eq(to_bytes({"gateway-1", {{{"e-0", 1.0}}, {{"e-7", 1792178440250}}, {}}}, "t", now),
+                 from_hex(s_old_draining));
+}
+
+Test(peer_message, evidence_is_read_with_the_times_of_the_receiver)
+{
+    const auto sent = with_crash();
+    const auto later = now + common::milliseconds{12'345};
+    const auto it = read_peer_message(to_bytes(sent, "t", now), "t", later);
+    cr_assert(it.has_value());
+    const auto& crash = it->state.crashes.crashes.at("e-1@5");
+    cr_assert_eq((later - crash.at).count(), 70);
+    cr_assert(crash.is_confirmed);
+    cr_assert_eq(crash.begun.count("s/p"), 1);
+    cr_assert_eq(crash.waiting.count("s/q"), 1);
+    cr_assert_eq((later - it->state.crashes.served.at("s/q")).count(), 900);
+    cr_assert_eq((later - it->state.crashes.quarantined.at("s/p")).count(), 10);
+}
+
+Test(peer_message, foreign_or_damaged_messages_are_refused)
+{
+    const auto bytes = to_bytes(with_crash(), "t", now);
+    cr_assert(!read_peer_message(bytes, "other", now).has_value());
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+    {
+        cr_assert(!read_peer_message(bytes.substr(0, n), "t", now).has_value());
+        auto damaged = bytes;
+        damaged[n] = static_cast<char>(damaged[n] ^ 0x55);
+        // Must not crash; some damage goes unnoticed.
+        read_peer_message(damaged, "t", now);
+    }
+}
--- /dev/null
+++ b/source/unit_tests/policy/crash_attribution_test.cpp
@@ -0,0 +1,261 @@
+#include "policy/crash_attribution.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace kumquatgap::policy;
+
+namespace
+{
+
+constexpr timestamp start{milliseconds{1'000'000}};
+constexpr milliseconds settled{400};
+using parts = std::vector<std::string>;
+
+const parts sound{"shared"};
+const parts deadly{"shared", "deadly"};
+
+void serve(crash_attribution& it, const parts& of, timestamp now)
+{
+    // The head arrives together with the first event.
+    it.record_served(of, milliseconds{100}, milliseconds{100}, now);
+}
+
+void crash(crash_attribution& it, const std::string& target, const parts& of, timestamp now,
+           bool has_head = true)
+{
+    it.record_lost(target, of, has_head, now);
+    it.record_gone(target, now);
+}
+
+/// Decides after all gateways had time to report.
+part_verdict verdict_after(crash_attribution& it, const parts& of, timestamp now)
+{
+    it.decide(now + settled);
+    return it.judge(of);
+}
+
+} // namespace
+
+Test(crash_attribution, one_crash_shows_the_only_part_that_was_never_served)
+{
+    crash_attribution it;
+    serve(it, sound, start);
+    crash(it, "t-0", deadly, start);
+    cr_assert_eq(it.judge(deadly), part_verdict::held, "held before the call is retried");
+    cr_assert_eq(it.judge(sound), part_verdict::clear);
+    cr_assert_eq(verdict_after(it, deadly, start), part_verdict::quarantined);
+    cr_assert_eq(it.judge(sound), part_verdict::clear);
+    cr_assert_gt(it.quarantine_left(deadly, start + settled).count(), 500'000);
+}
+
+Test(crash_attribution, served_parts_are_not_blamed)
+{
+    crash_attribution it;
+    serve(it, deadly, start);
+    crash(it, "t-0", deadly, start);
+    cr_assert_eq(verdict_after(it, deadly, start), part_verdict::clear);
+}
+
+/// A crash of another cause: requests wait at the target, and some of their parts are new.
+Test(crash_attribution, new_parts_that_waited_at_a_crash_are_not_blamed)
+{
+    crash_attribution it;
+    crash(it, "t-0", {"new-1"}, start, false);
+    crash(it, "t-0", {"new-2"}, start, false);
+    crash(it, "t-1", {"new-3"}, start + settled, false);
+    for (const auto* part : {"new-1", "new-2", "new-3"})
+        cr_assert_eq(verdict_after(it, {part}, start + settled), part_verdict::clear);
+}
+
+Test(crash_attribution, lost_connection_to_a_target_that_serves_is_no_crash)
+{
+    crash_attribution it;
+    serve(it, sound, start);
+    it.record_lost("t-0", deadly, true, start);
+    cr_assert_eq(it.judge(deadly), part_verdict::held);
+    it.record_alive("t-0");
+    cr_assert_eq(verdict_after(it, deadly, start), part_verdict::clear);
+}
+
+Test(crash_attribution, unconfirmed_crash_is_forgotten)
+{
+    crash_attribution it;
+    it.record_lost("t-0", deadly, true, start);
+    cr_assert_eq(verdict_after(it, deadly, start), part_verdict::held);
+    cr_assert_eq(verdict_after(it, deadly, start + milliseconds{6000}), part_verdict::clear);
+}
+
+/// A gateway that has just started has served nothing yet, but the others have.
+Test(crash_attribution, other_gateways_speak_for_what_they_served)
+{
+    crash_attribution fresh;
+    crash_attribution other;
+    serve(other, sound, start);
+    crash(fresh, "t-0", deadly, start);
+    cr_assert_eq(fresh.judge(sound), part_verdict::held);
+    other.merge(fresh.to_broadcast(start), start);
+    fresh.merge(other.to_broadcast(start), start);
+    cr_assert_eq(verdict_after(fresh, deadly, start), part_verdict::quarantined);
+    cr_assert_eq(fresh.judge(sound), part_verdict::clear);
+    cr_assert_eq(verdict_after(other, deadly, start), part_verdict::quarantined);
+}
+
+/// Two gateways had a request at the target, and neither knows of the other's.
+Test(crash_attribution, evidence_of_all_gateways_counts_before_a_conclusion)
+{
+    crash_attribution a;
+    crash_attribution b;
+    crash(a, "t-0", {"innocent"}, start);
+    crash(b, "t-0", deadly, start);
+    a.merge(b.to_broadcast(start), start);
+    b.merge(a.to_broadcast(start), start);
+    cr_assert_eq(verdict_after(a, {"innocent"}, start), part_verdict::suspect);
+    cr_assert_eq(verdict_after(b, {"innocent"}, start), part_verdict::suspect);
+    serve(a, {"innocent"}, start + settled);
+    serve(b, sound, start + settled);
+    a.merge(b.to_broadcast(start + settled), start + settled);
+    cr_assert_eq(verdict_after(a, deadly, start + settled), part_verdict::quarantined);
+    cr_assert_eq(a.judge({"innocent"}), part_verdict::clear);
+}
+
+Test(crash_attribution, suspects_are_tried_one_gateway_at_a_time)
+{
+    crash_attribution it;
+    crash(it, "t-0", {"p", "q"}, start);
+    it.decide(start + settled);
+    const auto turns = [&](timestamp now)
+    {
+        int n = 0;
+        for (std::size_t i = 0; i < 3; ++i)
+            n += it.is_own_turn(i, 3, now) ? 1 : 0;
+        return n;
+    };
+    for (int ms = 0; ms < 3000; ms += 100)
+        cr_assert_eq(turns(start + settled + milliseconds{ms}), 1);
+    it.record_trial(start + settled);
+    cr_assert_eq(turns(start + settled), 0, "one call a turn");
+}
+
+Test(crash_attribution, parts_that_always_occur_together_are_quarantined_together)
+{
+    crash_attribution it;
+    for (int i = 0; i < 3; ++i)
+        crash(it, "t-" + std::to_string(i), {"p", "q"}, start + i * settled);
+    cr_assert_eq(verdict_after(it, {"p"}, start + 3 * settled), part_verdict::quarantined);
+    cr_assert_eq(it.judge({"q"}), part_verdict::quarantined);
+}
+
+/// Engines get a new version that a part crashes which was served before.
+Test(crash_attribution, served_part_that_turns_deadly_is_singled_out)
+{
+    crash_attribution it;
+    serve(it, deadly, start);
+    for (int i = 1; i <= 2; ++i)
+    {
+        const auto at = start + i * milliseconds{5000};
+        serve(it, sound, at);
+        crash(it, "t-" + std::to_string(i), deadly, at + settled);
+    }
+    cr_assert_eq(verdict_after(it, deadly, start + milliseconds{11'000}),
+                 part_verdict::quarantined);
+    cr_assert_eq(it.judge(sound), part_verdict::clear);
+}
+
+/// Engines that send the head before they begin: a head says nothing about what they answer.
+Test(crash_attribution, early_heads_single_out_a_part_over_several_crashes)
+{
+    crash_attribution it;
+    for (int i = 0; i < 200; ++i)
+        it.record_served(sound, milliseconds{1}, milliseconds{100}, start);
+    std::mt19937_64 random{20261204};
+    for (int i = 1; i <= 3; ++i)
+    {
+        const auto at = start + i * milliseconds{4000};
+        const auto target = "t-" + std::to_string(i);
+        crash(it, target, deadly, at);
+        crash(it, target, {"once-" + std::to_string(random())}, at);
+        cr_assert_eq(verdict_after(it, deadly, at),
+                     i < 3 ? part_verdict::clear : part_verdict::quarantined);
+    }
+}
+
+Test(crash_attribution, release_is_not_undone_by_older_evidence)
+{
+    crash_attribution a;
+    crash_attribution b;
+    crash(a, "t-0", {"p"}, start);
+    a.decide(start + settled);
+    b.merge(a.to_broadcast(start + settled), start + settled);
+    cr_assert_eq(b.judge({"p"}), part_verdict::quarantined);
+    const auto later = start + milliseconds{10'000};
+    a.release("p", later);
+    a.merge(b.to_broadcast(later), later);
+    cr_assert_eq(verdict_after(a, {"p"}, later), part_verdict::clear);
+}
+
+Test(crash_attribution, quarantine_ends_after_its_lifetime_and_when_the_part_is_served)
+{
+    crash_attribution it;
+    crash(it, "t-0", {"p"}, start);
+    cr_assert_eq(verdict_after(it, {"p"}, start), part_verdict::quarantined);
+    cr_assert_eq(verdict_after(it, {"p"}, start + milliseconds{601'000}), part_verdict::clear);
+    crash(it, "t-1", {"q"}, start);
+    cr_assert_eq(verdict_after(it, {"q"}, start), part_verdict::quarantined);
+    serve(it, {"q"}, start + milliseconds{2000});
+    cr_assert_eq(it.decide(start + milliseconds{2000}).released.size(), 1);
+    cr_assert_eq(it.judge({"q"}), part_verdict::clear);
+}
+
+/// Replays the load of an incident: 50 requests per second at 4 gateways, one in 20 with the part,
+/// targets that are away for four seconds, and further crashes of other causes.
+Test(crash_attribution, deadly_part_among_sound_requests_ends_few_targets)
+{
+    for (unsigned seed = 1; seed <= 50; ++seed)
+    {
+        std::mt19937_64 random{seed};
+        std::vector<crash_attribution> gateways(4);
+        int crashes = 0;
+        int refused_sound = 0;
+        auto down_until = start;
+        for (int n = 0; n < 1500; ++n)
+        {
+            const auto now = start + n * milliseconds{20};
+            const auto sender = random() % gateways.size();
+            const auto first = "shared-" + std::to_string(random() % 100);
+            const bool is_deadly = n > 100 && random() % 20 == 0;
+            const parts of = is_deadly ? parts{first, "deadly"} : parts{first};
+            for (auto& it : gateways)
+                it.decide(now);
+            const auto verdict = gateways[sender].judge(of);
+            const bool is_trial = verdict == part_verdict::suspect &&
+                                  gateways[sender].is_own_turn(sender, gateways.size(), now);
+            if (is_trial)
+                gateways[sender].record_trial(now);
+            if (verdict != part_verdict::clear && !is_trial)
+            {
+                refused_sound += is_deadly ? 0 : 1;
+                continue;
+            }
+            if (now < down_until)
+                continue;
+            if (!is_deadly && random() % 400 != 0)
+            {
+                serve(gateways[sender], of, now);
+                continue;
+            }
+            crash(gateways[sender], "t-" + std::to_string(n), of, now, is_deadly);
+            crashes += is_deadly ? 1 : 0;
+            down_until = now + milliseconds{4000};
+            for (auto& to : gateways)
+            {
+                for (const auto& from : gateways)
+                    to.merge(from.to_broadcast(now), now);
+            }
+        }
+        cr_assert_leq(crashes, 3, "seed %u: %d", seed, crashes);
+        cr_assert_leq(refused_sound, 15, "seed %u: %d", seed, refused_sound);
+    }
+}
--- a/tests/platform/gateway_deadly_prompt_test.cpp
+++ b/tests/platform/gateway_deadly_prompt_test.cpp
@@ -127,6 +127,8 @@
         engines.call_deadly();
     const auto arrivals = engines.deadly_arrivals();
     cr_assert_leq(arrivals, 2);
+    cr_assert(engines.deployment().wait_until(
+        [&] { return engines.deployment().log().find("quarantine_stored") != std::string::npos; }));
     engines.deployment().restart_gateway(0);
     cr_assert(engines.deployment().wait_ready());
     for (int i = 0; i < 4; ++i)
