Withdraw calls in flight whose prompt may have crashed another target

The test call_in_flight_is_withdrawn_when_its_part_is_suspected failed before (no withdrawal, only the end of the call 300 ms later).

Cause: suspicion kept calls from being sent, but left those in flight, until the conclusion 300 ms after the crash. A prompt is read in 160 to 430 ms, so some begin within that time.

A withdrawn call costs a retry of the budget and waits in the queue. Ruled out: shortening the 300 ms, in which other gateways speak for parts that they have served.

--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -59,6 +59,8 @@
     bool has_retry_target(fleet::attempt_outcome last);
     bool claim_retry(fleet::attempt_outcome last);
     void pause_service(const attempt& it);
+    bool may_crash_target() const;
+    void withdraw(timestamp now);
     bool is_stalled(const attempt& it, timestamp now) const;
     /// True when this stream keeps a slow target in use for which the streams of a group wait.
     bool is_on_slow_target(const attempt& it, timestamp now) const;
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -1,6 +1,8 @@
 #include "common/log.hpp"
 #include "gateway/exchange.hpp"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -85,12 +87,38 @@
         return handle_deadline();
     if (!m_attempt)
         return;
+    if (may_crash_target())
+        return withdraw(now);
     if (is_stalled(*m_attempt, now))
         return leave_target("attempt_stalled", target_health::transport_failure, now);
     if (is_on_slow_target(*m_attempt, now))
         leave_target("slow_target_left", target_health::unknown, now);
 }
 
+bool exchange::may_crash_target() const
+{
+    return !m_last_event_at &&
+           m_gateway.crashes().attribution().judge(m_shared_parts) == policy::part_verdict::held;
+}
+
+/// Takes a call back whose prompt may have crashed another target, before its own target begins to
+/// answer it. The call waits in the queue until that is known.
+void exchange::withdraw(timestamp now)
+{
+    if (!claim_retry(attempt_outcome::unknown))
+        return;
+    m_gateway.failure_log().write(common::log_level::info, "suspect_call_withdrawn",
+                                  {{"id", m_caller.id},
+                                   {"target", m_attempt->target().id},
+                                   {"parts", absl::StrJoin(m_shared_parts, ",")},
+                                   {"ms", (now - m_attempt->started()).count()}},
+                                  now);
+    m_attempts.end(attempt_outcome::unknown);
+    m_attempt->cancel(target_health::unknown);
+    release_attempt(*m_attempt);
+    requeue();
+}
+
 void exchange::leave_target(std::string_view event, target_health health, timestamp now)
 {
     // An attempt is abandoned only if another target can take the call.
--- a/tests/platform/gateway_deadly_prompt_test.cpp
+++ b/tests/platform/gateway_deadly_prompt_test.cpp
@@ -42,21 +42,25 @@
                                      { answer(index, it, out); }));
     }
 
-    outcome call(const std::string& parts, std::size_t gateway = 0)
+    /// A request with the deadly part; no two are alike.
+    io::http_request deadly_request()
     {
-        auto it = m_deployment.request("/draft/x", common::concat("r", ++m_calls), "{}");
-        it.headers.add("X-Prompt-Prefix", common::concat(parts, ",", m_calls, "f:30"));
-        return m_deployment.call(it, gateway);
+        return request(common::concat("aa01:40,", deadly_part, ":200"));
     }
 
-    /// A request with the deadly part; no two are alike.
     outcome call_deadly(std::size_t gateway = 0)
     {
-        return call(common::concat("aa01:40,", deadly_part, ":200"), gateway);
+        return m_deployment.call(deadly_request(), gateway);
     }
 
     /// A request with the same first part.
-    outcome call_sound(std::size_t gateway = 0) { return call("aa01:40", gateway); }
+    outcome call_sound(std::size_t gateway = 0)
+    {
+        return m_deployment.call(request("aa01:40"), gateway);
+    }
+
+    /// How long engines read a prompt with the deadly part before they begin to answer it.
+    void set_deadly_delay(common::milliseconds delay) { m_deadly_delay = delay; }
 
     std::ptrdiff_t crashed() const
     {
@@ -76,6 +80,13 @@
     void crash_at_next_request() { m_crashes_next = true; }
 
 private:
+    io::http_request request(const std::string& parts)
+    {
+        auto it = m_deployment.request("/draft/x", common::concat("r", ++m_calls), "{}");
+        it.headers.add("X-Prompt-Prefix", common::concat(parts, ",", m_calls, "f:30"));
+        return it;
+    }
+
     static bool is_deadly(const io::http_request& it)
     {
         return it.headers.find("x-prompt-prefix").find(deadly_part) != std::string_view::npos;
@@ -83,6 +94,12 @@
 
     void answer(std::size_t index, const io::http_request& request, const reply& out)
     {
+        if (is_deadly(request) && m_deadly_delay.count() > 0)
+        {
+            m_timers.push_back(m_deployment.loop().after(m_deadly_delay, [this, index, request, out]
+                                                         { begin_deadly(index, request, out); }));
+            return;
+        }
         out.write(stream_head(request));
         if (is_deadly(request) || std::exchange(m_crashes_next, false))
             return m_engines[index]->crash();
@@ -91,8 +108,19 @@
         out.write(io::last_chunk);
     }
 
+    /// An engine drops a request whose connection was closed.
+    void begin_deadly(std::size_t index, const io::http_request& request, const reply& out)
+    {
+        if (!out.is_open())
+            return;
+        out.write(stream_head(request));
+        m_engines[index]->crash();
+    }
+
     gateway_deployment m_deployment;
     std::vector<scripted_target*> m_engines;
+    std::vector<io::timer_handle> m_timers;
+    common::milliseconds m_deadly_delay{0};
     int m_calls = 0;
     bool m_crashes_next = false;
 };
@@ -149,3 +177,24 @@
     for (int i = 0; i < 4; ++i)
         cr_assert_eq(engines.call_sound().answer.status, 200);
 }
+
+/// Guards against a second engine that is reading such a prompt when the first one crashes: the
+/// call was left there until that engine crashed as well.
+Test(gateway_deadly_prompt, call_in_flight_is_withdrawn_when_its_part_is_suspected)
+{
+    fragile_engines engines{4, 1};
+    cr_assert_eq(engines.call_sound().answer.status, 200);
+    engines.set_deadly_delay(common::milliseconds{2000});
+    const auto slow = engines.deployment().begin(engines.deadly_request());
+    cr_assert(engines.deployment().wait_until([&] { return engines.deadly_arrivals() == 1; }));
+    engines.set_deadly_delay(common::milliseconds{0});
+    engines.call_deadly();
+    engines.deployment().run_for(common::milliseconds{2500});
+    cr_assert_eq(engines.crashed(), 1);
+    cr_assert(slow->result.ended);
+    // Before the conclusion, which takes longer than an engine may need to begin.
+    const auto log = engines.deployment().log();
+    const auto withdrawn = log.find("event=suspect_call_withdrawn");
+    cr_assert_neq(withdrawn, std::string::npos);
+    cr_assert_lt(withdrawn, log.find("event=prompt_part_quarantined"));
+}
