Read the request rate that a target names, and count such answers

Targets in need name in their answers how many requests per second they take from all gateways together.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -147,6 +147,8 @@
         m_metrics.count("kqg_leaving_answers_total");
         m_follower.note_draining(it.id, it.started_at, {});
     }
+    if (head.rate_limit)
+        m_metrics.count("kqg_limited_answers_total");
     if (head.busy_for)
     {
         m_metrics.count("kqg_busy_answers_total");
--- a/source/gateway/protocol_adapter.hpp
+++ b/source/gateway/protocol_adapter.hpp
@@ -61,6 +61,9 @@
     /// For how long a target that refused the request asks for no more requests from this gateway;
     /// empty when the response does not say.
     std::optional<milliseconds> busy_for;
+    /// The requests per second that the target accepts from all gateways together; empty when it
+    /// sets no limit.
+    std::optional<double> rate_limit;
 };
 
 /// Maps a deployment's HTTP header fields and store keys to the gateway's types. Implementations
