Keep the requests of all gateways to a target within the rate it names

Cause: the field in the targets' answers was not read. Class: a signal of overload that only one gateway sees, about a limit that all share; applied by each alone it would let n times the rate through.

Why this works: what a response says is a notice of the target, ordered by its age, shared with the other gateways and ended by a newer response without it, by a new start, or after a minute's silence. policy/shared_rate_limiter counts the sends of all gateways, which they broadcast, in one leaky bucket; the share of a gateway that is not heard is left out, and a target with a rate of 0 is still asked every ten seconds. Calls go to other targets or wait.

Messages of the build before are read and, without a limit, written byte for byte.

--- a/source/core/fleet/target_notices.cpp
+++ b/source/core/fleet/target_notices.cpp
@@ -1,6 +1,7 @@
 #include "fleet/target_notices.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace kumquatgap::fleet
 {
@@ -15,7 +16,10 @@
 {
     auto& out = m_notices[id];
     if (out.started_at != started_at)
-        out = {.started_at = started_at, .draining_since = {}, .heard_at = {}, .busy_until = {}};
+    {
+        out = notice{};
+        out.started_at = started_at;
+    }
     return out;
 }
 
@@ -47,6 +51,49 @@
     return was_free;
 }
 
+bool target_notices::note_rate_limit(const std::string& id, const rate_limit& limit,
+                                     notice_source from)
+{
+    const auto known = m_notices.find(id);
+    const bool has_limit = known != m_notices.end() && known->second.per_second;
+    if (!has_limit && !limit.per_second)
+        return false;
+    if (known != m_notices.end() && (limit.started_at < known->second.started_at ||
+                                     limit.heard_at < known->second.limit_heard_at))
+        return false;
+    auto& it = notice_of(id, limit.started_at);
+    it.limit_heard_at = limit.heard_at;
+    if (from == notice_source::answer)
+        it.limit_heard_here_at = limit.heard_at;
+    return std::exchange(it.per_second, limit.per_second) != limit.per_second;
+}
+
+std::map<std::string, double> target_notices::limited() const
+{
+    std::map<std::string, double> out;
+    for (const auto& [id, it] : m_notices)
+    {
+        if (it.per_second)
+            out.emplace(id, *it.per_second);
+    }
+    return out;
+}
+
+rate_limits target_notices::limits_to_broadcast(timestamp now) const
+{
+    rate_limits out;
+    for (const auto& [id, it] : m_notices)
+    {
+        if (it.limit_heard_here_at == timestamp{} ||
+            now - it.limit_heard_here_at > broadcast_duration)
+            continue;
+        // Another gateway has heard something newer.
+        if (it.limit_heard_here_at == it.limit_heard_at)
+            out.emplace(id, rate_limit{it.started_at, it.per_second, it.limit_heard_at});
+    }
+    return out;
+}
+
 void target_notices::entry_updated(const std::string& id, std::int64_t started_at)
 {
     if (started_at != 0 && m_notices.contains(id))
@@ -87,7 +134,9 @@
                       const bool is_kept =
                           is_draining(n, now) &&
                           (has_entry(id) || now - *n.draining_since < missing_entry_lifetime);
-                      return !is_kept && n.busy_until <= now;
+                      const bool is_limit_recent = n.limit_heard_at != timestamp{} &&
+                                                   now - n.limit_heard_at < rate_limit_lifetime;
+                      return !is_kept && !is_limit_recent && n.busy_until <= now;
                   });
 }
 
--- a/source/core/fleet/target_notices.hpp
+++ b/source/core/fleet/target_notices.hpp
@@ -18,6 +18,20 @@
 /// when targets do not report when they started.
 using draining_targets = std::map<std::string, std::int64_t>;
 
+/// The requests per second that a target accepts from all gateways together, as its responses say;
+/// none when they no longer name a rate.
+struct rate_limit
+{
+    std::int64_t started_at = 0;
+    std::optional<double> per_second;
+    timestamp heard_at;
+
+    bool operator==(const rate_limit&) const = default;
+};
+
+/// By target id.
+using rate_limits = std::map<std::string, rate_limit>;
+
 /// Who received a notice from the target.
 enum class notice_source : std::uint8_t
 {
@@ -46,6 +60,8 @@
     /// A notice is broadcast to the other gateways for this long, since datagrams get lost and a
     /// gateway may be unreachable for a time.
     static constexpr milliseconds broadcast_duration{30'000};
+    /// A limit that no response has named for this long is forgotten.
+    static constexpr milliseconds rate_limit_lifetime{60'000};
     /// The longest time without calls that a target can ask for; longer requests are shortened to
     /// it.
     static constexpr milliseconds max_busy_time{3'600'000};
@@ -57,6 +73,13 @@
     /// The target asks this gateway for no calls for `time`. True when it accepted calls before.
     bool note_busy(const std::string& id, std::int64_t started_at, milliseconds time,
                    timestamp now);
+    /// What a response of the target said about its rate limit, unless something newer is known.
+    /// True when the limit has changed.
+    bool note_rate_limit(const std::string& id, const rate_limit& limit, notice_source from);
+    /// The targets that have named a limit, with these limits.
+    std::map<std::string, double> limited() const;
+    /// What this gateway has heard itself and lately, for broadcast.
+    rate_limits limits_to_broadcast(timestamp now) const;
     /// An entry states when the target started; notices of an earlier start end.
     void entry_updated(const std::string& id, std::int64_t started_at);
 
@@ -78,6 +101,11 @@
         /// When a response last reported it.
         std::optional<timestamp> heard_at;
         timestamp busy_until;
+        std::optional<double> per_second;
+        /// When any gateway, and this one, last received a response that said so; the start of the
+        /// clock for never.
+        timestamp limit_heard_at;
+        timestamp limit_heard_here_at;
     };
 
     static bool is_draining(const notice& it, timestamp now);
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -72,6 +72,16 @@
     {
         return m_notices.draining_to_broadcast(now);
     }
+    /// What a target's response said about its rate limit; see target_notices.
+    bool note_rate_limit(const std::string& id, const rate_limit& limit, notice_source from)
+    {
+        return m_notices.note_rate_limit(id, limit, from);
+    }
+    std::map<std::string, double> limited() const { return m_notices.limited(); }
+    rate_limits limits_to_broadcast(timestamp now) const
+    {
+        return m_notices.limits_to_broadcast(now);
+    }
     /// The earliest time at which a target of the service accepts calls again, if all targets that
     /// are in service have asked for no calls; none otherwise.
     std::optional<timestamp> all_busy_until(std::string_view service, timestamp now) const;
--- /dev/null
+++ b/source/core/policy/shared_rate_limiter.cpp
@@ -0,0 +1,122 @@
+#include "policy/shared_rate_limiter.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+namespace kumquatgap::policy
+{
+
+namespace
+{
+
+constexpr double ms_per_s = 1000;
+
+} // namespace
+
+void shared_rate_limiter::set_limited(const std::set<std::string>& targets, timestamp now)
+{
+    std::erase_if(m_own, [&](const auto& it) { return !targets.contains(it.first); });
+    std::erase_if(m_limited_since, [&](const auto& it) { return !targets.contains(it.first); });
+    for (const auto& it : targets)
+    {
+        m_own.try_emplace(it);
+        m_limited_since.try_emplace(it, now);
+    }
+    for (auto& times : m_own | std::views::values)
+        std::erase_if(times, [&](timestamp at) { return now - at > m_options.memory; });
+}
+
+void shared_rate_limiter::record_send(const std::string& target, timestamp now)
+{
+    if (const auto it = m_own.find(target); it != m_own.end())
+        it->second.push_back(now);
+}
+
+void shared_rate_limiter::update_peer_sends(const std::string& gateway, recent_sends sends,
+                                            timestamp now)
+{
+    m_peers.insert_or_assign(gateway, peer{std::move(sends), now});
+}
+
+recent_sends shared_rate_limiter::to_broadcast(const std::map<std::string, double>& limits,
+                                               timestamp now) const
+{
+    recent_sends out;
+    for (const auto& [target, per_second] : limits)
+    {
+        const auto found = m_own.find(target);
+        if (found == m_own.end())
+            continue;
+        // Twice the time in which the rate makes up for a burst, since others may use less of it.
+        const auto ms = 2 * m_options.burst * ms_per_s / std::max(per_second, lowest_rate());
+        for (const auto at : found->second)
+        {
+            if (static_cast<double>((now - at).count()) <= ms)
+                out[target].push_back(at);
+        }
+    }
+    if (out.empty() && !limits.empty())
+        out.try_emplace(limits.begin()->first);
+    return out;
+}
+
+double shared_rate_limiter::lowest_rate() const
+{
+    return ms_per_s / static_cast<double>(m_options.max_pause.count());
+}
+
+/// The rate less the shares of the gateways that are not heard, and at least the rate at which the
+/// target is asked for its present limit.
+double shared_rate_limiter::usable_rate(double per_second, std::size_t gateways,
+                                        timestamp now) const
+{
+    const auto heard =
+        std::ranges::count_if(m_peers | std::views::values, [&](const peer& it)
+                              { return now - it.heard_at <= m_options.peer_lifetime; });
+    const auto seen =
+        std::min<double>(static_cast<double>(heard) + 1, static_cast<double>(gateways));
+    return std::max(per_second * seen / static_cast<double>(std::max<std::size_t>(gateways, 1)),
+                    lowest_rate());
+}
+
+std::vector<timestamp> shared_rate_limiter::all_sends(const std::string& target) const
+{
+    std::vector<timestamp> out;
+    if (const auto it = m_own.find(target); it != m_own.end())
+        out = it->second;
+    for (const auto& it : m_peers | std::views::values)
+    {
+        if (const auto found = it.sends.find(target); found != it.sends.end())
+            out.insert(out.end(), found->second.begin(), found->second.end());
+    }
+    std::ranges::sort(out);
+    return out;
+}
+
+bool shared_rate_limiter::may_send(const std::string& target, double per_second,
+                                   std::size_t gateways, timestamp now) const
+{
+    const auto since = m_limited_since.find(target);
+    if (since == m_limited_since.end())
+        return true;
+    // A leaky bucket that all sends fill.
+    const auto rate = usable_rate(per_second, gateways, now);
+    double level = m_options.burst;
+    auto last = since->second;
+    const auto leak_until = [&](timestamp at)
+    {
+        level = std::max(0.0, level - rate * static_cast<double>((at - last).count()) / ms_per_s);
+        last = at;
+    };
+    for (const auto at : all_sends(target))
+    {
+        if (at < last)
+            continue;
+        leak_until(at);
+        ++level;
+    }
+    leak_until(std::max(now, last));
+    return level + 1 <= m_options.burst;
+}
+
+} // namespace kumquatgap::policy
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <limits>
 #include <numeric>
+#include <ranges>
 
 namespace kumquatgap::gateway
 {
@@ -27,6 +28,8 @@
 /// New connections may still arrive for this long after SIGTERM.
 constexpr milliseconds settle_time{2500};
 constexpr milliseconds idle_check_period{50};
+/// How often the rate limits of targets are broadcast.
+constexpr milliseconds limits_broadcast_period{250};
 constexpr milliseconds store_calls_log_period{10'000};
 /// Log lines per second; a line has about 300 bytes. The first limit covers part of the calls of
 /// one entry host at design load (6,900/s over 35 hosts), the second a spike of failures.
@@ -133,6 +136,9 @@
         state.picker.update_peer_loads(peer, it.work, now);
     for (const auto& [id, started_at] : it.draining)
         m_follower.note_draining(id, started_at, peer);
+    for (const auto& [id, limit] : it.limits)
+        m_follower.note_rate_limit(id, limit, peer);
+    m_rate_limiter.update_peer_sends(peer, it.sends, now);
     if (!it.crashes.empty())
         m_crash_guard.attribution().merge(it.crashes, now);
 }
@@ -149,6 +155,7 @@
     }
     if (head.rate_limit)
         m_metrics.count("kqg_limited_answers_total");
+    m_follower.note_rate_limit(it.id, {it.started_at, head.rate_limit, common::now()}, {});
     if (head.busy_for)
     {
         m_metrics.count("kqg_busy_answers_total");
@@ -170,6 +177,7 @@
     m_follower.write_metrics(m_metrics, now);
     m_load_broadcast.write_metrics(m_metrics, now);
     m_crash_guard.write_metrics(m_metrics);
+    m_metrics.set("kqg_limited_targets", static_cast<std::int64_t>(targets().limited().size()));
     for (const auto& it : m_services)
     {
         const auto& name = it.first;
@@ -216,8 +224,13 @@
     const auto max_streams = state.latency.has_engine()
                                  ? state.latency.max_streams_for_gap(it.gap_goal())
                                  : std::numeric_limits<double>::max();
+    const auto limits = targets().limited();
     for (const auto* t : targets().usable(name, now))
     {
+        if (const auto found = limits.find(t->id);
+            found != limits.end() &&
+            !m_rate_limiter.may_send(t->id, found->second, m_follower.peers().size() + 1, now))
+            continue;
         auto limit = std::min(static_cast<double>(t->slots), max_streams);
         if (const auto slowdown = m_follower.slowdown_of(t->address); slowdown > 1)
             limit = std::min(limit, state.latency.max_streams_at_slowdown(slowdown));
@@ -274,6 +287,7 @@
         auto& crashes = m_crash_guard.attribution();
         if (crashes.judge(it->shared_parts()) == policy::part_verdict::suspect)
             crashes.record_trial(now);
+        m_rate_limiter.record_send(target, now);
         it->send_to(*targets().find_usable(target, now));
     }
 }
@@ -282,6 +296,10 @@
 {
     const auto now = common::now();
     m_crash_guard.tick(targets(), now, random());
+    const auto limits = targets().limited();
+    std::set<std::string> limited;
+    std::ranges::copy(limits | std::views::keys, std::inserter(limited, limited.end()));
+    m_rate_limiter.set_limited(limited, now);
     for (auto& [name, state] : m_services)
     {
         for (const auto id : state.queue.take_expired(now))
@@ -299,11 +317,18 @@
         it->check_timeouts(now);
     m_success_log.report(now);
     m_failure_log.report(now);
-    peer_state own{
-        {}, targets().draining_to_broadcast(now), m_crash_guard.attribution().to_broadcast(now)};
+    peer_state own{.work = {},
+                   .draining = targets().draining_to_broadcast(now),
+                   .crashes = m_crash_guard.attribution().to_broadcast(now),
+                   .limits = {},
+                   .sends = m_rate_limiter.to_broadcast(limits, now)};
+    // Each answer of a target confirms its limit, which is no reason to send all limits again.
+    if (now - m_limits_sent_at >= limits_broadcast_period)
+        own.limits = targets().limits_to_broadcast(now);
     for (const auto& [name, state] : m_services)
         own.work.insert(state.picker.own_loads().begin(), state.picker.own_loads().end());
-    m_load_broadcast.send(m_follower.peers(), own, now);
+    if (m_load_broadcast.send(m_follower.peers(), own, now) && !own.limits.empty())
+        m_limits_sent_at = now;
 }
 
 /// Refuses queued calls whose deadline passes before any target accepts work again.
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -14,6 +14,7 @@
 #include "policy/admission_queue.hpp"
 #include "policy/engine_latency_model.hpp"
 #include "policy/least_load_picker.hpp"
+#include "policy/shared_rate_limiter.hpp"
 #include "policy/stall_detector.hpp"
 #include "policy/windowed_retry_budget.hpp"
 #include "shell/program.hpp"
@@ -146,6 +147,7 @@
     load_broadcast m_load_broadcast;
     policy::windowed_retry_budget m_retry_budget;
     crash_guard m_crash_guard;
+    policy::shared_rate_limiter m_rate_limiter;
     common::metrics m_metrics;
     common::limited_log m_success_log;
     common::limited_log m_failure_log;
@@ -158,6 +160,7 @@
     io::http_server m_admin_server;
     std::unique_ptr<io::http_server> m_metrics_server;
     std::unique_ptr<shell::settings_follower> m_settings_follower;
+    timestamp m_limits_sent_at;
     timestamp m_shutdown_started_at;
     bool m_is_shutting_down = false;
     bool m_refuses_calls = false;
--- a/source/gateway/load_broadcast.cpp
+++ b/source/gateway/load_broadcast.cpp
@@ -28,19 +28,20 @@
     return m_socket.listen(address);
 }
 
-void load_broadcast::send(const std::vector<membership::peer>& to, const peer_state& own,
+bool load_broadcast::send(const std::vector<membership::peer>& to, const peer_state& own,
                           common::timestamp now)
 {
     const auto passed = now - m_sent_at;
     if (passed < policy::load_broadcast_interval(to.size()))
-        return;
+        return false;
     if (own == m_last_sent && (own.empty() || passed < resend_after))
-        return;
+        return false;
     m_last_sent = own;
     m_sent_at = now;
     const auto bytes = to_bytes({m_name, own}, m_token, now);
     for (const auto& it : to)
         m_socket.send(it.address, bytes);
+    return true;
 }
 
 void load_broadcast::write_metrics(common::metrics& m, common::timestamp now) const
--- a/source/gateway/load_broadcast.hpp
+++ b/source/gateway/load_broadcast.hpp
@@ -25,8 +25,9 @@
 
     /// Binds the socket for sending and receiving to `ip:port`; false when that fails.
     bool start(const std::string& address);
-    /// Sends the state if it has changed since the last message or the last message is old.
-    void send(const std::vector<membership::peer>& to, const peer_state& own,
+    /// Sends the state if it has changed since the last message or the last message is old. False
+    /// when it was not sent, also because the last message was sent just before.
+    bool send(const std::vector<membership::peer>& to, const peer_state& own,
               common::timestamp now);
     /// Exports the bytes sent and received, and the age of the last message of each gateway.
     void write_metrics(common::metrics& m, common::timestamp now) const;
--- a/source/gateway/peer_message.cpp
+++ b/source/gateway/peer_message.cpp
@@ -59,6 +59,57 @@
     return out;
 }
 
+json to_json(const fleet::rate_limits& limits, timestamp now)
+{
+    auto out = json::object();
+    for (const auto& [target, it] : limits)
+    {
+        out[target] = {{"started", it.started_at}, {"age_ms", (now - it.heard_at).count()}};
+        if (it.per_second)
+            out[target]["per_s"] = *it.per_second;
+    }
+    return out;
+}
+
+fleet::rate_limits read_limits(const json& from, timestamp now)
+{
+    fleet::rate_limits out;
+    for (const auto& [target, it] : from.items())
+    {
+        fleet::rate_limit limit{it.at("started").get<std::int64_t>(), std::nullopt,
+                                now - milliseconds{it.at("age_ms").get<std::int64_t>()}};
+        if (it.contains("per_s"))
+            limit.per_second = it.at("per_s").get<double>();
+        out.emplace(target, limit);
+    }
+    return out;
+}
+
+json to_json(const policy::recent_sends& sends, timestamp now)
+{
+    auto out = json::object();
+    for (const auto& [target, times] : sends)
+    {
+        auto ages = json::array();
+        for (const auto at : times)
+            ages.push_back((now - at).count());
+        out[target] = std::move(ages);
+    }
+    return out;
+}
+
+policy::recent_sends read_sends(const json& from, timestamp now)
+{
+    policy::recent_sends out;
+    for (const auto& [target, ages] : from.items())
+    {
+        auto& times = out[target];
+        for (const auto& age : ages)
+            times.push_back(now - milliseconds{age.get<std::int64_t>()});
+    }
+    return out;
+}
+
 } // namespace
 
 std::string to_bytes(const peer_message& it, const std::string& token, timestamp now)
@@ -68,6 +119,10 @@
         message["leaving"] = it.state.draining;
     if (!it.state.crashes.empty())
         message["crashes"] = to_json(it.state.crashes, now);
+    if (!it.state.limits.empty())
+        message["limits"] = to_json(it.state.limits, now);
+    if (!it.state.sends.empty())
+        message["sends"] = to_json(it.state.sends, now);
     const auto bytes = json::to_cbor(message);
     return {bytes.begin(), bytes.end()};
 }
@@ -85,6 +140,8 @@
         out.state.draining = message.value("leaving", fleet::draining_targets{});
         if (message.contains("crashes"))
             out.state.crashes = read_crashes(message.at("crashes"), now);
+        out.state.limits = read_limits(message.value("limits", json::object()), now);
+        out.state.sends = read_sends(message.value("sends", json::object()), now);
         return out;
     }
     catch (const json::exception& e)
--- a/source/gateway/peer_message.hpp
+++ b/source/gateway/peer_message.hpp
@@ -3,6 +3,7 @@
 #include "common/clock.hpp"
 #include "fleet/target_notices.hpp"
 #include "policy/crash_attribution.hpp"
+#include "policy/shared_rate_limiter.hpp"
 
 #include <map>
 #include <optional>
@@ -21,9 +22,15 @@
     loads work;
     fleet::draining_targets draining;
     policy::crash_evidence crashes;
+    fleet::rate_limits limits;
+    policy::recent_sends sends;
 
     bool operator==(const peer_state&) const = default;
-    bool empty() const { return work.empty() && draining.empty() && crashes.empty(); }
+    bool empty() const
+    {
+        return work.empty() && draining.empty() && crashes.empty() && limits.empty() &&
+               sends.empty();
+    }
 };
 
 /// A message with the name of the gateway that sent it.
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -4,6 +4,7 @@
 #include "fleet/target_slowdown.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace kumquatgap::gateway
@@ -270,6 +271,22 @@
                      {"code", common::number(common::result_code::target_busy)}});
 }
 
+void state_follower::note_rate_limit(const std::string& id, const fleet::rate_limit& limit,
+                                     std::string_view peer)
+{
+    const auto from = peer.empty() ? fleet::notice_source::answer : fleet::notice_source::peer;
+    if (!m_targets.note_rate_limit(id, limit, from))
+        return;
+    constexpr double per_thousand = 1000;
+    // -1 stands for no limit.
+    common::log(
+        common::log_level::info, "target_rate_limit",
+        {{"target", id},
+         {"per_1000_s", limit.per_second ? std::llround(*limit.per_second * per_thousand) : -1},
+         {"age_ms", (common::now() - limit.heard_at).count()},
+         {"heard_from", peer.empty() ? "answer" : peer}});
+}
+
 void state_follower::apply_slowdown(const kv::key_value& it)
 {
     const auto address = it.key.substr(fleet::slowdown_prefix.size());
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -39,6 +39,10 @@
     void note_draining(const std::string& id, std::int64_t started_at, std::string_view peer);
     /// Marks a target as busy for a time, after it has refused a call and asked for that.
     void note_busy(const std::string& id, std::int64_t started_at, common::milliseconds time);
+    /// Records what a target's response said about its rate limit, as this gateway or `peer` has
+    /// received it.
+    void note_rate_limit(const std::string& id, const fleet::rate_limit& limit,
+                         std::string_view peer);
     /// How many times slower than normal the target at an address is; 1 for normal speed.
     double slowdown_of(const std::string& address) const;
     /// The other gateways.
--- a/source/unit_tests/fleet/target_notices_test.cpp
+++ b/source/unit_tests/fleet/target_notices_test.cpp
@@ -153,3 +153,40 @@
     cr_assert(!here.is_draining("a", start + 200 * second));
     cr_assert(!there.is_draining("a", start + 200 * second));
 }
+
+Test(target_notices, newest_response_decides_on_a_rate_limit)
+{
+    target_table it;
+    it.put(one("a", 50));
+    cr_assert(!it.note_rate_limit("a", {50, std::nullopt, start}, notice_source::answer));
+    cr_assert(it.note_rate_limit("a", {50, 2.5, start + second}, notice_source::answer));
+    cr_assert_eq(it.limited().at("a"), 2.5);
+    cr_assert(!it.note_rate_limit("a", {50, 9.0, start}, notice_source::peer), "older");
+    cr_assert(it.note_rate_limit("a", {50, std::nullopt, start + 2 * second}, notice_source::peer));
+    cr_assert(it.limited().empty());
+    cr_assert(!it.note_rate_limit("a", {50, 2.5, start + second}, notice_source::peer), "older");
+}
+
+Test(target_notices, rate_limit_of_an_earlier_start_ends)
+{
+    target_table it;
+    it.put(one("a", 50));
+    it.note_rate_limit("a", {50, 2.5, start}, notice_source::answer);
+    it.put(one("a", 51, 9));
+    cr_assert(it.limited().empty());
+    cr_assert(!it.note_rate_limit("a", {50, 2.5, start + second}, notice_source::peer));
+}
+
+/// Gateways would otherwise refresh each other's notices.
+Test(target_notices, only_limits_heard_here_are_broadcast)
+{
+    target_table it;
+    it.put(one("a", 50));
+    it.put(one("b", 50));
+    it.note_rate_limit("a", {50, 2.5, start}, notice_source::answer);
+    it.note_rate_limit("b", {50, 1.5, start}, notice_source::peer);
+    cr_assert_eq(it.limits_to_broadcast(start).size(), 1);
+    cr_assert(it.limits_to_broadcast(start + 40 * second).empty());
+    it.prune(start + 61 * second);
+    cr_assert(it.limited().empty(), "no response has named it for a minute");
+}
--- a/source/unit_tests/gateway/peer_message_test.cpp
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -34,7 +34,7 @@
 
 peer_message with_crash()
 {
-    peer_state state{{{"e-0", 1.0}}, {}, {}};
+    peer_state state{{{"e-0", 1.0}}, {}, {}, {}, {}};
     state.crashes.crashes["e-1@5"] = {now - common::milliseconds{70}, true, {"s/p"}, {"s/q"}};
     state.crashes.served["s/q"] = now - common::milliseconds{900};
     state.crashes.quarantined["s/p"] = now - common::milliseconds{10};
@@ -57,10 +57,11 @@
 /// its own fields are.
 Test(peer_message, message_for_the_release_before_is_unchanged)
 {
-    cr_assert_eq(to_bytes({"gateway-1", {{{"e-0", 2.0}, {"e-1", 0.5}}, {}, {}}}, "t", now),
+    cr_assert_eq(to_bytes({"gateway-1", {{{"e-0", 2.0}, {"e-1", 0.5}}, {}, {}, {}, {}}}, "t", now),
                  from_hex(s_old_loads));
-    cr_assert_eq(to_bytes({"gateway-1", {{{"e-0", 1.0}}, {{"e-7", 1792178440250}}, {}}}, "t", now),
-                 from_hex(s_old_draining));
+    cr_assert_eq(
+        to_bytes({"gateway-1", {{{"e-0", 1.0}}, {{"e-7", 1792178440250}}, {}, {}, {}}}, "t", now),
+        from_hex(s_old_draining));
 }
 
 Test(peer_message, evidence_is_read_with_the_times_of_the_receiver)
@@ -78,6 +79,21 @@
     cr_assert_eq((later - it->state.crashes.quarantined.at("s/p")).count(), 10);
 }
 
+Test(peer_message, limits_and_sends_are_read_with_the_times_of_the_receiver)
+{
+    peer_state state;
+    state.limits["t-0"] = {7, 2.5, now - common::milliseconds{40}};
+    state.limits["t-1"] = {8, std::nullopt, now};
+    state.sends["t-0"] = {now - common::milliseconds{900}, now - common::milliseconds{30}};
+    const auto later = now + common::milliseconds{5000};
+    const auto it = read_peer_message(to_bytes({"g", state}, "t", now), "t", later);
+    cr_assert(it.has_value());
+    cr_assert_eq(it->state.limits.at("t-0"),
+                 (fleet::rate_limit{7, 2.5, later - common::milliseconds{40}}));
+    cr_assert(!it->state.limits.at("t-1").per_second.has_value());
+    cr_assert_eq((later - it->state.sends.at("t-0").front()).count(), 900);
+}
+
 Test(peer_message, foreign_or_damaged_messages_are_refused)
 {
     const auto bytes = to_bytes(with_crash(), "t", now);
