--- a/source/core/policy/crash_attribution.cpp
+++ b/source/core/policy/crash_attribution.cpp
@@ -1,7 +1,7 @@
 #include "policy/crash_attribution.hpp"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 
 namespace kumquatgap::policy
 {
@@ -150,13 +150,14 @@
 
 std::size_t crash_attribution::crashes_after(const std::string& part, timestamp at) const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_crashes | std::views::values,
-                              [&](const crash& it)
-                              {
-                                  return it.is_confirmed && it.at > at &&
-                                         (it.begun.contains(part) || it.waiting.contains(part));
-                              }));
+    return static_cast<std::size_t>(std::ranges::count_if(m_crashes,
+                                                          [&](const auto& it)
+                                                          {
+                                                              const auto& c = it.second;
+                                                              return c.is_confirmed && c.at > at &&
+                                                                     (c.begun.contains(part) ||
+                                                                      c.waiting.contains(part));
+                                                          }));
 }
 
 std::size_t crash_attribution::crashes_with(const std::string& part) const
@@ -175,7 +176,7 @@
 }
 
 /// The parts that may have caused the crash: those that were never served, or, when all were, those
-/// for which that no longer speaks.
+/// with several crashes since.
 std::vector<std::string> crash_attribution::uncleared(const std::set<std::string>& parts,
                                                       const crash& of) const
 {
@@ -201,9 +202,9 @@
 
 /// True when a part that is known to crash targets accounts for the crash.
 bool crash_attribution::is_explained(const std::vector<std::string>& parts,
-                                     const std::set<std::string>& guilty) const
+                                     const std::set<std::string>& culprits) const
 {
-    return contains_any(guilty, parts) ||
+    return contains_any(culprits, parts) ||
            std::ranges::any_of(parts, [&](const auto& it) { return m_quarantined.contains(it); });
 }
 
@@ -211,19 +212,20 @@
 /// before `min_crashes` only if `suspects_before` is set.
 void crash_attribution::single_out(const std::vector<std::vector<std::string>>& crashes,
                                    int min_crashes, bool suspects_before,
-                                   std::set<std::string>& guilty)
+                                   std::set<std::string>& culprits)
 {
     std::map<std::string, int> counts;
     for (const auto& parts : crashes)
     {
-        if (is_explained(parts, guilty))
+        if (is_explained(parts, culprits))
             continue;
         for (const auto& part : parts)
             ++counts[part];
     }
     if (counts.empty())
         return;
-    const auto highest = std::ranges::max(counts | std::views::values);
+    const auto highest =
+        std::ranges::max_element(counts, {}, [](const auto& it) { return it.second; })->second;
     std::vector<std::string> leaders;
     for (const auto& [part, n] : counts)
     {
@@ -234,22 +236,23 @@
         std::ranges::none_of(leaders, [&](const auto& it) { return served_at(it).has_value(); });
     if (highest >= min_crashes &&
         (leaders.size() == 1 || (never_served && highest >= m_options.crashes_without_head)))
-        guilty.insert(leaders.begin(), leaders.end());
+        culprits.insert(leaders.begin(), leaders.end());
     else if (highest >= min_crashes)
         m_suspects.insert(leaders.begin(), leaders.end());
     else if (suspects_before)
-        std::ranges::copy(counts | std::views::keys, std::inserter(m_suspects, m_suspects.end()));
+        std::ranges::transform(counts, std::inserter(m_suspects, m_suspects.end()),
+                               [](const auto& it) { return it.first; });
 }
 
 /// Finds the parts that account for the crashes, and updates the suspects and the held parts.
-std::set<std::string> crash_attribution::find_guilty(timestamp now)
+std::set<std::string> crash_attribution::find_culprits(timestamp now)
 {
     m_suspects.clear();
     m_held.clear();
-    std::set<std::string> guilty;
+    std::set<std::string> culprits;
     std::vector<std::vector<std::string>> begun;
     std::vector<std::vector<std::string>> waiting;
-    for (const auto& it : m_crashes | std::views::values)
+    for (const auto& [target, it] : m_crashes)
     {
         if (it.begun.empty() || !heads_come_with_events())
         {
@@ -263,13 +266,13 @@
         if (!it.is_confirmed || now - it.at < m_options.settle_time)
             hold(it);
         else if (open.size() == 1)
-            guilty.insert(open.front());
+            culprits.insert(open.front());
         else
             begun.push_back(std::move(open));
     }
-    single_out(begun, m_options.crashes_to_single_out, true, guilty);
-    single_out(waiting, m_options.crashes_without_head, false, guilty);
-    return guilty;
+    single_out(begun, m_options.crashes_to_single_out, true, culprits);
+    single_out(waiting, m_options.crashes_without_head, false, culprits);
+    return culprits;
 }
 
 /// Ends the quarantine of parts that were served since, or that late evidence clears.
@@ -300,8 +303,10 @@
         m_held.clear();
         return out;
     }
-    m_last_crash = std::ranges::max(m_crashes | std::views::values, {}, &crash::at).at;
-    for (const auto& part : find_guilty(now))
+    m_last_crash =
+        std::ranges::max_element(m_crashes, {}, [](const auto& it) { return it.second.at; })
+            ->second.at;
+    for (const auto& part : find_culprits(now))
     {
         if (m_quarantined.size() < m_options.max_quarantined &&
             m_quarantined.try_emplace(part, quarantine{now, true}).second)
--- a/source/core/policy/crash_attribution.hpp
+++ b/source/core/policy/crash_attribution.hpp
@@ -30,8 +30,8 @@
     milliseconds lifetime{600'000};
     /// How long evidence is broadcast, since datagrams get lost.
     milliseconds broadcast_time{30'000};
-    /// After this many crashes since a part was last served, having been served no longer speaks
-    /// for it.
+    /// After this many crashes since a part was last served, it may have caused them although it
+    /// was served before.
     int crashes_to_doubt = 2;
     /// Of several parts, one that is in more crashes than the others is quarantined once there are
     /// this many.
@@ -62,7 +62,7 @@
     quarantined
 };
 
-/// What the gateways tell each other about crashes. Parts are identified by keys that the caller
+/// The evidence about crashes that gateways exchange. Parts are identified by keys that the caller
 /// forms from service and part.
 struct crash_evidence
 {
@@ -162,10 +162,10 @@
     std::vector<std::string> uncleared(const std::set<std::string>& parts, const crash& of) const;
     void hold(const crash& it);
     bool is_explained(const std::vector<std::string>& parts,
-                      const std::set<std::string>& guilty) const;
-    std::set<std::string> find_guilty(timestamp now);
+                      const std::set<std::string>& culprits) const;
+    std::set<std::string> find_culprits(timestamp now);
     void single_out(const std::vector<std::vector<std::string>>& crashes, int min_crashes,
-                    bool suspects_before, std::set<std::string>& guilty);
+                    bool suspects_before, std::set<std::string>& culprits);
     std::vector<std::string> release_cleared();
 
     crash_attribution_options m_options;
--- a/source/core/policy/shared_rate_limiter.cpp
+++ b/source/core/policy/shared_rate_limiter.cpp
@@ -1,7 +1,6 @@
 #include "policy/shared_rate_limiter.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace kumquatgap::policy
 {
@@ -22,7 +21,7 @@
         m_own.try_emplace(it);
         m_limited_since.try_emplace(it, now);
     }
-    for (auto& times : m_own | std::views::values)
+    for (auto& [target, times] : m_own)
         std::erase_if(times, [&](timestamp at) { return now - at > m_options.memory; });
 }
 
@@ -71,8 +70,8 @@
                                         timestamp now) const
 {
     const auto heard =
-        std::ranges::count_if(m_peers | std::views::values, [&](const peer& it)
-                              { return now - it.heard_at <= m_options.peer_lifetime; });
+        std::ranges::count_if(m_peers, [&](const auto& it)
+                              { return now - it.second.heard_at <= m_options.peer_lifetime; });
     const auto seen =
         std::min<double>(static_cast<double>(heard) + 1, static_cast<double>(gateways));
     return std::max(per_second * seen / static_cast<double>(std::max<std::size_t>(gateways, 1)),
@@ -84,7 +83,7 @@
     std::vector<timestamp> out;
     if (const auto it = m_own.find(target); it != m_own.end())
         out = it->second;
-    for (const auto& it : m_peers | std::views::values)
+    for (const auto& [gateway, it] : m_peers)
     {
         if (const auto found = it.sends.find(target); found != it.sends.end())
             out.insert(out.end(), found->second.begin(), found->second.end());
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -7,9 +7,9 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <iterator>
 #include <limits>
 #include <numeric>
-#include <ranges>
 
 namespace kumquatgap::gateway
 {
@@ -298,7 +298,8 @@
     m_crash_guard.tick(targets(), now, random());
     const auto limits = targets().limited();
     std::set<std::string> limited;
-    std::ranges::copy(limits | std::views::keys, std::inserter(limited, limited.end()));
+    std::ranges::transform(limits, std::inserter(limited, limited.end()),
+                           [](const auto& it) { return it.first; });
     m_rate_limiter.set_limited(limited, now);
     for (auto& [name, state] : m_services)
     {
--- a/tests/platform/gateway_streams_test.cpp
+++ b/tests/platform/gateway_streams_test.cpp
@@ -35,6 +35,26 @@
     out.write(io::last_chunk);
 }
 
+/// Makes calls until `second` has resumed a stream after its third event; all must be whole.
+void expect_resumed_after_third_event(gateway_deployment& deployment, const scripted_target& second)
+{
+    const auto was_resumed = [&]
+    {
+        return std::ranges::any_of(second.requests(), [](const auto& it)
+                                   { return it.headers.find("last-event-id") == "3"; });
+    };
+    // The first target is random, so it takes a few calls until e-0 is chosen.
+    constexpr int enough_calls = 60;
+    for (int i = 0; i < enough_calls && !was_resumed(); ++i)
+    {
+        const auto result =
+            deployment.call(deployment.request("/draft/x", common::concat("r", i), "{}"));
+        cr_assert_eq(result.how, io::call_outcome::complete);
+        cr_assert_eq(result.answer.body, events_text(1, last_event));
+    }
+    cr_assert(was_resumed());
+}
+
 } // namespace
 
 Test(gateway_streams, complete_stream_forwarded_unchanged)
@@ -62,21 +82,7 @@
     auto& second = deployment.add_target("e-1", "engine", complete_stream);
     deployment.put_config(deployment.config(5));
     cr_assert(deployment.wait_ready());
-    const auto was_resumed = [&]
-    {
-        return std::ranges::any_of(second.requests(), [](const auto& it)
-                                   { return it.headers.find("last-event-id") == "3"; });
-    };
-    // The first target is random, so it takes a few calls until e-0 is chosen.
-    constexpr int enough_calls = 60;
-    for (int i = 0; i < enough_calls && !was_resumed(); ++i)
-    {
-        const auto result =
-            deployment.call(deployment.request("/draft/x", common::concat("r", i), "{}"));
-        cr_assert_eq(result.how, io::call_outcome::complete);
-        cr_assert_eq(result.answer.body, events_text(1, last_event));
-    }
-    cr_assert(was_resumed());
+    expect_resumed_after_third_event(deployment, second);
 }
 
 /// Guards against a stream with neither a length nor chunks that is taken to be complete although
@@ -109,20 +115,7 @@
     auto& second = deployment.add_target("e-1", "engine", whole);
     deployment.put_config(deployment.config(5));
     cr_assert(deployment.wait_ready());
-    const auto was_resumed = [&]
-    {
-        return std::ranges::any_of(second.requests(), [](const auto& it)
-                                   { return it.headers.find("last-event-id") == "3"; });
-    };
-    constexpr int enough_calls = 60;
-    for (int i = 0; i < enough_calls && !was_resumed(); ++i)
-    {
-        const auto result =
-            deployment.call(deployment.request("/draft/x", common::concat("r", i), "{}"));
-        cr_assert_eq(result.how, io::call_outcome::complete);
-        cr_assert_eq(result.answer.body, events_text(1, last_event));
-    }
-    cr_assert(was_resumed());
+    expect_resumed_after_third_event(deployment, second);
 }
 
 Test(gateway_streams, stream_that_cannot_resume_is_cut)
