Withdraw a call only if its attempts allow another one; store a quarantine once

Found by reading the change. withdraw() asked whether the call may be retried before it counted the withdrawn attempt, so a call whose first attempt had ended unknown could have reached one target more than its route allows (BUDGET). The attempts are now counted on a copy first. A quarantine was written again every three seconds while the store took writes but its watch was silent; each write took a lease. A response to the write now ends that.

--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -167,9 +167,12 @@
     const auto value =
         nlohmann::json{{"by", m_gateway}, {"crashes", m_attribution.crashes_with(part)}}.dump();
     m_store.write({{{{key, 0}}, {{key, value, lease}}}},
-                  [part](const auto& response)
+                  [this, part](const auto& response)
                   {
-                      if (!response)
+                      // Written, or another gateway has written it.
+                      if (response)
+                          m_unsaved.erase(part);
+                      else
                           common::log(common::log_level::warn, "quarantine_not_stored",
                                       {{"part", part}, {"detail", response.error().detail}});
                   });
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -105,7 +105,9 @@
 /// answer it. The call waits in the queue until that is known.
 void exchange::withdraw(timestamp now)
 {
-    if (!claim_retry(attempt_outcome::unknown))
+    auto attempts = m_attempts;
+    attempts.end(attempt_outcome::unknown);
+    if (!attempts.may_retry() || !claim_retry(attempt_outcome::unknown))
         return;
     m_gateway.failure_log().write(common::log_level::info, "suspect_call_withdrawn",
                                   {{"id", m_caller.id},
@@ -113,7 +115,7 @@
                                    {"parts", absl::StrJoin(m_shared_parts, ",")},
                                    {"ms", (now - m_attempt->started()).count()}},
                                   now);
-    m_attempts.end(attempt_outcome::unknown);
+    m_attempts = attempts;
     m_attempt->cancel(target_health::unknown);
     release_attempt(*m_attempt);
     requeue();
