Keep crash evidence within a datagram, and send it again only each 100 ms

What callers would see: after the loss of a large group the message of a gateway exceeds the 16 KiB that receivers read. It is cut off and refused whole, so for 30 s the others get neither its evidence nor its loads, its leaving targets and its counted sends. A single prompt with thousands of parts does the same.

Cause: a report that is sent whole each time, whose size depends on what failed and on what callers send. Class: state without a bound in a message with one.

Change: a crash remembers only the parts that fit a broadcast; a broadcast contains 4 kB of crashes and 4 kB of quarantined parts, and the next one continues where it ended. New evidence is sent at once; the same evidence is repeated each 100 ms and no longer in every message (up to 50 a second). A message that is still too long is logged and counted. The time in which other gateways may clear a part now grows with the broadcast interval: with hundreds of gateways a report takes longer than the 300 ms.

Why it works: parts are merged, so the order and number of messages do not matter; the test spreads 60 crashes with 1,440 parts.

--- a/source/core/io/datagram_socket.cpp
+++ b/source/core/io/datagram_socket.cpp
@@ -15,8 +15,6 @@
 namespace
 {
 
-constexpr std::size_t max_message_bytes = std::size_t{16} << 10;
-
 bool to_socket_address(const std::string& address, sockaddr_in& out)
 {
     const auto it = common::parse_address(address);
--- a/source/core/io/datagram_socket.hpp
+++ b/source/core/io/datagram_socket.hpp
@@ -2,6 +2,8 @@
 
 #include "io/event_loop.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -16,6 +18,8 @@
 {
 public:
     using handler = std::function<void(std::string_view message)>;
+    /// Longer messages are cut off on receipt.
+    static constexpr std::size_t max_message_bytes = std::size_t{16} << 10;
 
     datagram_socket(event_loop& loop, handler fn);
     datagram_socket(const datagram_socket&) = delete;
--- a/source/core/policy/crash_attribution.cpp
+++ b/source/core/policy/crash_attribution.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
+#include <utility>
 
 namespace kumquatgap::policy
 {
@@ -11,12 +13,49 @@
 
 /// The weight of the newest response in the smoothed fraction of the time to a head.
 constexpr double head_weight = 0.05;
+/// Other gateways have reported after this many broadcasts, even if one is lost.
+constexpr int broadcasts_to_settle = 3;
+/// What a broadcast needs for a crash, and for a part, besides their names.
+constexpr std::size_t crash_bytes = 64;
+constexpr std::size_t part_bytes = 16;
 
 bool contains_any(const std::set<std::string>& set, const std::vector<std::string>& parts)
 {
     return std::ranges::any_of(parts, [&](const auto& it) { return set.contains(it); });
 }
 
+/// A part is named in its crash, and once more with the time at which it was served.
+std::size_t broadcast_bytes_of(const std::string& part)
+{
+    return 2 * (part.size() + part_bytes);
+}
+
+std::size_t broadcast_bytes_of(const crash_evidence::crash& it)
+{
+    const auto add = [](std::size_t sum, const auto& part)
+    { return sum + broadcast_bytes_of(part); };
+    return std::accumulate(it.waiting.begin(), it.waiting.end(),
+                           std::accumulate(it.begun.begin(), it.begun.end(), crash_bytes, add),
+                           add);
+}
+
+/// Passes the entries of a map, beginning with the key `next`, to `take` until that returns false.
+/// Then `next` is the key of the refused entry, so that the following call continues there.
+template <typename map_type, typename function>
+void take_in_turn(const map_type& entries, std::string& next, function take)
+{
+    auto it = entries.lower_bound(next);
+    for (std::size_t i = 0; i < entries.size(); ++i, ++it)
+    {
+        if (it == entries.end())
+            it = entries.begin();
+        if (take(*it))
+            continue;
+        next = it->first;
+        return;
+    }
+}
+
 } // namespace
 
 void crash_attribution::note_served(const std::string& part, timestamp at)
@@ -70,13 +109,38 @@
     if (parts.empty())
         return;
     auto& it = m_crashes.try_emplace(target, crash{now, false, {}, {}}).first->second;
-    (has_head ? it.begun : it.waiting).insert(parts.begin(), parts.end());
+    add_parts(has_head ? it.begun : it.waiting, {parts.begin(), parts.end()}, it);
     hold(it);
 }
 
+/// Adds parts to those of a crash, as far as the crash still fits a broadcast.
+void crash_attribution::add_parts(std::set<std::string>& to, const std::set<std::string>& parts,
+                                  const crash& of)
+{
+    for (const auto& it : parts)
+    {
+        if (broadcast_bytes_of(of) + broadcast_bytes_of(it) <= m_options.max_broadcast_bytes &&
+            to.insert(it).second)
+            ++m_evidence_version;
+    }
+}
+
+void crash_attribution::confirm(crash& it)
+{
+    if (!std::exchange(it.is_confirmed, true))
+        ++m_evidence_version;
+}
+
+/// Quarantines a part because of what the store or another gateway says.
+void crash_attribution::add_quarantine(const std::string& part, timestamp since)
+{
+    if (m_quarantined.try_emplace(part, quarantine{since, false}).second)
+        ++m_evidence_version;
+}
+
 void crash_attribution::record_gone(const std::string& target, timestamp now)
 {
-    m_crashes.try_emplace(target, crash{now, false, {}, {}}).first->second.is_confirmed = true;
+    confirm(m_crashes.try_emplace(target, crash{now, false, {}, {}}).first->second);
 }
 
 void crash_attribution::record_alive(const std::string& target)
@@ -100,11 +164,12 @@
 {
     for (const auto& [target, it] : from.crashes)
     {
-        auto& own = m_crashes.try_emplace(target, it).first->second;
+        auto& own = m_crashes.try_emplace(target, crash{it.at, false, {}, {}}).first->second;
         own.at = std::min(own.at, it.at);
-        own.is_confirmed = own.is_confirmed || it.is_confirmed;
-        own.begun.insert(it.begun.begin(), it.begun.end());
-        own.waiting.insert(it.waiting.begin(), it.waiting.end());
+        if (it.is_confirmed)
+            confirm(own);
+        add_parts(own.begun, it.begun, own);
+        add_parts(own.waiting, it.waiting, own);
         hold(own);
     }
     for (const auto& [part, at] : from.served)
@@ -114,13 +179,13 @@
         // The part was served or released after that gateway drew its conclusion.
         const auto served = served_at(part);
         if (!served || *served < since)
-            m_quarantined.try_emplace(part, quarantine{since, false});
+            add_quarantine(part, since);
     }
 }
 
 void crash_attribution::adopt(const std::string& part, timestamp now)
 {
-    m_quarantined.try_emplace(part, quarantine{now, false});
+    add_quarantine(part, now);
 }
 
 void crash_attribution::release(const std::string& part, timestamp now)
@@ -245,7 +310,7 @@
 }
 
 /// Finds the parts that account for the crashes, and updates the suspects and the held parts.
-std::set<std::string> crash_attribution::find_culprits(timestamp now)
+std::set<std::string> crash_attribution::find_culprits(timestamp now, milliseconds settle_time)
 {
     m_suspects.clear();
     m_held.clear();
@@ -263,7 +328,7 @@
             continue;
         }
         auto open = uncleared(it.begun, it);
-        if (!it.is_confirmed || now - it.at < m_options.settle_time)
+        if (!it.is_confirmed || now - it.at < settle_time)
             hold(it);
         else if (open.size() == 1)
             culprits.insert(open.front());
@@ -292,8 +357,11 @@
     return out;
 }
 
-crash_attribution::decisions crash_attribution::decide(timestamp now)
+crash_attribution::decisions crash_attribution::decide(timestamp now,
+                                                       milliseconds broadcast_interval)
 {
+    const auto settle_time =
+        std::max(m_options.settle_time, broadcasts_to_settle * broadcast_interval);
     forget_old(now);
     decisions out;
     out.released = release_cleared();
@@ -306,12 +374,13 @@
     m_last_crash =
         std::ranges::max_element(m_crashes, {}, [](const auto& it) { return it.second.at; })
             ->second.at;
-    for (const auto& part : find_culprits(now))
+    for (const auto& part : find_culprits(now, settle_time))
     {
         if (m_quarantined.size() < m_options.max_quarantined &&
             m_quarantined.try_emplace(part, quarantine{now, true}).second)
             out.quarantined.push_back(part);
     }
+    m_evidence_version += out.quarantined.size();
     return out;
 }
 
@@ -344,23 +413,37 @@
     return out;
 }
 
-crash_evidence crash_attribution::to_broadcast(timestamp now) const
+crash_evidence crash_attribution::to_broadcast(timestamp now)
 {
     crash_evidence out;
     std::set<std::string> parts;
-    for (const auto& [target, it] : m_crashes)
-    {
-        if (now - it.at > m_options.broadcast_time)
-            continue;
-        out.crashes.emplace(target, it);
-        parts.insert(it.begun.begin(), it.begun.end());
-        parts.insert(it.waiting.begin(), it.waiting.end());
-    }
-    for (const auto& [part, it] : m_quarantined)
-    {
-        out.quarantined.emplace(part, it.since);
-        parts.insert(part);
-    }
+    std::size_t bytes = 0;
+    take_in_turn(m_crashes, m_next_crash,
+                 [&](const auto& entry)
+                 {
+                     const auto& [target, it] = entry;
+                     if (now - it.at > m_options.broadcast_time)
+                         return true;
+                     bytes += target.size() + broadcast_bytes_of(it);
+                     if (bytes > m_options.max_broadcast_bytes && !out.crashes.empty())
+                         return false;
+                     out.crashes.emplace(target, it);
+                     parts.insert(it.begun.begin(), it.begun.end());
+                     parts.insert(it.waiting.begin(), it.waiting.end());
+                     return true;
+                 });
+    bytes = 0;
+    take_in_turn(m_quarantined, m_next_quarantined,
+                 [&](const auto& entry)
+                 {
+                     const auto& [part, it] = entry;
+                     bytes += broadcast_bytes_of(part);
+                     if (bytes > m_options.max_broadcast_bytes)
+                         return false;
+                     out.quarantined.emplace(part, it.since);
+                     parts.insert(part);
+                     return true;
+                 });
     for (const auto& part : parts)
     {
         if (const auto at = own_served_at(part))
--- a/source/core/policy/crash_attribution.hpp
+++ b/source/core/policy/crash_attribution.hpp
@@ -48,6 +48,9 @@
     std::size_t max_served = 8192;
     std::size_t max_crashes = 64;
     std::size_t max_quarantined = 64;
+    /// The most bytes of crashes, and of quarantined parts, in one broadcast, since a datagram also
+    /// contains the loads. Further parts of a crash that exceeds this alone are left out.
+    std::size_t max_broadcast_bytes = 4096;
 };
 
 /// Whether a request may be sent.
@@ -126,8 +129,9 @@
         std::vector<std::string> quarantined;
         std::vector<std::string> released;
     };
-    /// Draws conclusions from the evidence; called regularly.
-    decisions decide(timestamp now);
+    /// Draws conclusions from the evidence; called regularly. `broadcast_interval` is the time
+    /// between two reports of another gateway.
+    decisions decide(timestamp now, milliseconds broadcast_interval = milliseconds{0});
 
     part_verdict judge(const std::vector<std::string>& parts) const;
     /// True when this gateway, number `index` of `gateways`, may send a suspect request now. All
@@ -142,7 +146,10 @@
     std::size_t quarantined_count() const { return m_quarantined.size(); }
     std::size_t suspect_count() const { return m_suspects.size() + m_held.size(); }
 
-    crash_evidence to_broadcast(timestamp now) const;
+    /// Rises with each new crash, confirmation, part of a crash and quarantine.
+    std::uint64_t evidence_version() const { return m_evidence_version; }
+    /// The evidence for the next broadcast. What exceeds the size limit is in the following ones.
+    crash_evidence to_broadcast(timestamp now);
 
 private:
     using crash = crash_evidence::crash;
@@ -163,7 +170,10 @@
     void hold(const crash& it);
     bool is_explained(const std::vector<std::string>& parts,
                       const std::set<std::string>& culprits) const;
-    std::set<std::string> find_culprits(timestamp now);
+    void add_parts(std::set<std::string>& to, const std::set<std::string>& parts, const crash& of);
+    void confirm(crash& it);
+    void add_quarantine(const std::string& part, timestamp since);
+    std::set<std::string> find_culprits(timestamp now, milliseconds settle_time);
     void single_out(const std::vector<std::vector<std::string>>& crashes, int min_crashes,
                     bool suspects_before, std::set<std::string>& culprits);
     std::vector<std::string> release_cleared();
@@ -190,6 +200,10 @@
     double m_head_fraction = 1;
     timestamp m_last_crash;
     std::int64_t m_last_turn = -1;
+    std::uint64_t m_evidence_version = 0;
+    /// Where the next broadcast continues, by target and by part.
+    std::string m_next_crash;
+    std::string m_next_quarantined;
 };
 
 } // namespace kumquatgap::policy
--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds save_retry{3000};
 /// A host that drops packets gives no answer at all.
 constexpr milliseconds probe_timeout{1000};
+constexpr milliseconds rebroadcast_period{100};
 
 /// The id of a target may be used again by its next start.
 std::string key_of(const fleet::target& it)
@@ -119,11 +120,22 @@
     }
 }
 
-void crash_guard::tick(const fleet::target_table& targets, timestamp now, double draw)
+policy::crash_evidence crash_guard::to_broadcast(timestamp now)
+{
+    const auto version = m_attribution.evidence_version();
+    if (version == m_broadcast_version && now - m_broadcast_at < rebroadcast_period)
+        return {};
+    m_broadcast_version = version;
+    m_broadcast_at = now;
+    return m_attribution.to_broadcast(now);
+}
+
+void crash_guard::tick(const fleet::target_table& targets, timestamp now, double draw,
+                       milliseconds broadcast_interval)
 {
     std::erase_if(m_probes, [](const auto& it) { return it.second.has_ended; });
     confirm_replaced(targets, now);
-    const auto decided = m_attribution.decide(now);
+    const auto decided = m_attribution.decide(now, broadcast_interval);
     for (const auto& part : decided.quarantined)
     {
         common::log(common::log_level::warn, "prompt_part_quarantined",
--- a/source/gateway/crash_guard.hpp
+++ b/source/gateway/crash_guard.hpp
@@ -7,6 +7,7 @@
 #include "kv/store.hpp"
 #include "policy/crash_attribution.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -48,7 +49,12 @@
     /// The store has a key with the prefix, or no longer.
     void handle_entry(const std::string& part, bool is_present, timestamp now);
     /// Draws conclusions; `draw`, a random number in [0, 1), spreads the writes of the gateways.
-    void tick(const fleet::target_table& targets, timestamp now, double draw);
+    /// `broadcast_interval` is the time between two broadcasts of a gateway.
+    void tick(const fleet::target_table& targets, timestamp now, double draw,
+              common::milliseconds broadcast_interval);
+    /// The evidence that a message to the other gateways contains: new evidence at once, and all of
+    /// it again from time to time, since messages get lost.
+    policy::crash_evidence to_broadcast(timestamp now);
     void write_metrics(common::metrics& m) const;
 
 private:
@@ -77,6 +83,8 @@
     std::map<std::string, open_probe> m_probes;
     /// Parts that the store does not have yet, and when they are written next.
     std::map<std::string, timestamp> m_unsaved;
+    std::uint64_t m_broadcast_version = 0;
+    timestamp m_broadcast_at;
 };
 
 } // namespace kumquatgap::gateway
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "common/log.hpp"
 #include "common/text.hpp"
 #include "gateway/exchange.hpp"
+#include "policy/load_broadcast_interval.hpp"
 
 #include <algorithm>
 #include <array>
@@ -295,7 +296,8 @@
 void gateway::tick()
 {
     const auto now = common::now();
-    m_crash_guard.tick(targets(), now, random());
+    m_crash_guard.tick(targets(), now, random(),
+                       policy::load_broadcast_interval(m_follower.peers().size()));
     const auto limits = targets().limited();
     std::set<std::string> limited;
     std::ranges::transform(limits, std::inserter(limited, limited.end()),
@@ -318,11 +320,17 @@
         it->check_timeouts(now);
     m_success_log.report(now);
     m_failure_log.report(now);
+    if (m_load_broadcast.is_due(m_follower.peers().size(), now))
+        broadcast_state(now);
+}
+
+void gateway::broadcast_state(timestamp now)
+{
     peer_state own{.work = {},
                    .draining = targets().draining_to_broadcast(now),
-                   .crashes = m_crash_guard.attribution().to_broadcast(now),
+                   .crashes = m_crash_guard.to_broadcast(now),
                    .limits = {},
-                   .sends = m_rate_limiter.to_broadcast(limits, now)};
+                   .sends = m_rate_limiter.to_broadcast(targets().limited(), now)};
     // Each answer of a target confirms its limit, which is no reason to send all limits again.
     if (now - m_limits_sent_at >= limits_broadcast_period)
         own.limits = targets().limits_to_broadcast(now);
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -130,6 +130,7 @@
     bool may_start(std::uint64_t id, timestamp now) const;
     bool is_own_trial_turn(timestamp now) const;
     void tick();
+    void broadcast_state(timestamp now);
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
     void update_latency_model(const std::string& name, service_state& state, timestamp now);
     void handle_state_change();
--- a/source/gateway/load_broadcast.cpp
+++ b/source/gateway/load_broadcast.cpp
@@ -28,17 +28,22 @@
     return m_socket.listen(address);
 }
 
+bool load_broadcast::is_due(std::size_t peers, common::timestamp now) const
+{
+    return now - m_sent_at >= policy::load_broadcast_interval(peers);
+}
+
 bool load_broadcast::send(const std::vector<membership::peer>& to, const peer_state& own,
                           common::timestamp now)
 {
-    const auto passed = now - m_sent_at;
-    if (passed < policy::load_broadcast_interval(to.size()))
-        return false;
-    if (own == m_last_sent && (own.empty() || passed < resend_after))
+    if (own == m_last_sent && (own.empty() || now - m_sent_at < resend_after))
         return false;
     m_last_sent = own;
     m_sent_at = now;
     const auto bytes = to_bytes({m_name, own}, m_token, now);
+    // Logged once: such messages come in series.
+    if (bytes.size() > io::datagram_socket::max_message_bytes && m_too_long++ == 0)
+        common::log(common::log_level::warn, "load_message_too_long", {{"bytes", bytes.size()}});
     for (const auto& it : to)
         m_socket.send(it.address, bytes);
     return true;
@@ -47,6 +52,7 @@
 void load_broadcast::write_metrics(common::metrics& m, common::timestamp now) const
 {
     m.set("kqg_load_bytes", static_cast<std::int64_t>(m_socket.bytes()));
+    m.set("kqg_load_messages_too_long", m_too_long);
     for (const auto& [name, at] : m_received_at)
         m.set(common::concat("kqg_peer_loads_age_ms{gateway=\"", name, "\"}"), (now - at).count());
 }
--- a/source/gateway/load_broadcast.hpp
+++ b/source/gateway/load_broadcast.hpp
@@ -6,6 +6,7 @@
 #include "io/event_loop.hpp"
 #include "membership/gossip_node.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -25,8 +26,10 @@
 
     /// Binds the socket for sending and receiving to `ip:port`; false when that fails.
     bool start(const std::string& address);
-    /// Sends the state if it has changed since the last message or the last message is old. False
-    /// when it was not sent, also because the last message was sent just before.
+    /// False while the last message to this many peers was sent just before.
+    bool is_due(std::size_t peers, common::timestamp now) const;
+    /// Sends the state if it has changed since the last message or the last message is old; false
+    /// when it was not sent.
     bool send(const std::vector<membership::peer>& to, const peer_state& own,
               common::timestamp now);
     /// Exports the bytes sent and received, and the age of the last message of each gateway.
@@ -42,6 +45,8 @@
     std::map<std::string, common::timestamp> m_received_at;
     peer_state m_last_sent;
     common::timestamp m_sent_at;
+    /// The number of messages that receivers cut off.
+    std::int64_t m_too_long = 0;
 };
 
 } // namespace kumquatgap::gateway
--- a/source/unit_tests/gateway/peer_message_test.cpp
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -1,8 +1,12 @@
 #include "gateway/peer_message.hpp"
 
+#include "io/datagram_socket.hpp"
+
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <string>
+#include <vector>
 
 using namespace kumquatgap;
 using gateway::peer_message;
@@ -107,3 +111,41 @@
         read_peer_message(damaged, "t", now);
     }
 }
+
+/// Longer messages are cut off on receipt, and with them the loads are lost.
+Test(peer_message, evidence_of_a_lost_group_fits_a_datagram_beside_the_loads)
+{
+    constexpr int targets = 129;
+    constexpr int parts_of_a_target = 24;
+    policy::crash_attribution lost;
+    peer_state state;
+    for (int t = 0; t < targets; ++t)
+    {
+        const auto id = "i-" + std::to_string(1'000'000'000 + t);
+        state.work[id] = t;
+        for (int i = 0; i < parts_of_a_target; ++i)
+            lost.record_lost(id + "@1768948500781",
+                             {"assistant/" + std::to_string(t * parts_of_a_target + i)}, true, now);
+    }
+    for (int i = 0; i < targets; ++i)
+    {
+        state.crashes = lost.to_broadcast(now);
+        cr_assert_leq(to_bytes({"gateway-1", state}, "t", now).size(),
+                      io::datagram_socket::max_message_bytes);
+    }
+}
+
+Test(peer_message, prompt_with_thousands_of_parts_fits_a_datagram)
+{
+    std::vector<std::string> parts;
+    for (int i = 0; i < 5000; ++i)
+        parts.push_back("assistant/" + std::to_string(1'000'000 + i));
+    policy::crash_attribution lost;
+    lost.record_lost("t-0", parts, true, now);
+    for (const auto& it : parts)
+        lost.adopt(it, now);
+    peer_state state;
+    state.crashes = lost.to_broadcast(now);
+    cr_assert_leq(to_bytes({"gateway-1", state}, "t", now).size(),
+                  io::datagram_socket::max_message_bytes);
+}
--- a/source/unit_tests/policy/crash_attribution_test.cpp
+++ b/source/unit_tests/policy/crash_attribution_test.cpp
@@ -251,7 +251,7 @@
             down_until = now + milliseconds{4000};
             for (auto& to : gateways)
             {
-                for (const auto& from : gateways)
+                for (auto& from : gateways)
                     to.merge(from.to_broadcast(now), now);
             }
         }
@@ -259,3 +259,52 @@
         cr_assert_leq(refused_sound, 15, "seed %u: %d", seed, refused_sound);
     }
 }
+
+/// One message has no room for all of it.
+Test(crash_attribution, evidence_of_a_lost_group_reaches_other_gateways_in_parts)
+{
+    constexpr int targets = 60;
+    constexpr int parts_of_a_target = 24;
+    const auto part_of = [](int target, int i)
+    { return "assistant/" + std::to_string(1'000'000 + target * parts_of_a_target + i); };
+    crash_attribution from;
+    for (int t = 0; t < targets; ++t)
+    {
+        for (int i = 0; i < parts_of_a_target; ++i)
+            crash(from, "target-" + std::to_string(t), {part_of(t, i)}, start);
+    }
+    crash_attribution to;
+    for (int i = 0; i < targets; ++i)
+        to.merge(from.to_broadcast(start), start);
+    for (int t = 0; t < targets; ++t)
+        cr_assert_eq(to.crashes_with(part_of(t, parts_of_a_target - 1)), 1, "target %d", t);
+}
+
+Test(crash_attribution, evidence_version_changes_with_new_evidence_only)
+{
+    crash_attribution it;
+    crash(it, "t-0", deadly, start);
+    const auto evidence = it.to_broadcast(start);
+    const auto version = it.evidence_version();
+    crash(it, "t-0", deadly, start);
+    it.merge(evidence, start);
+    cr_assert_eq(it.evidence_version(), version);
+    crash(it, "t-1", deadly, start);
+    cr_assert_neq(it.evidence_version(), version);
+}
+
+/// With hundreds of gateways a report takes longer to arrive than the settle time.
+Test(crash_attribution, part_is_not_quarantined_before_the_other_gateways_can_report)
+{
+    constexpr milliseconds interval{1000};
+    crash_attribution it;
+    crash(it, "t-0", sound, start);
+    cr_assert(it.decide(start + settled, interval).quarantined.empty());
+    cr_assert_eq(it.judge(sound), part_verdict::held);
+    crash_evidence report;
+    report.crashes.emplace("t-0", crash_evidence::crash{start, true, {"shared"}, {}});
+    report.served.emplace("shared", start - settled);
+    it.merge(report, start + interval);
+    cr_assert(it.decide(start + 4 * interval, interval).quarantined.empty());
+    cr_assert_eq(it.judge(sound), part_verdict::clear);
+}
