Give the targets of the rate limit test a response time

Cause: both targets answered within a millisecond, so on a busy machine one seemed more than twice as slow as the other and got no calls. The gateways' logs of a failed run show that both had heard that the limit had ended (per_1000_s=-1) long before the test gave up. The arrivals were missing because the picker preferred the other target.

Change: both targets answer after 40 ms, much longer than the delays of a busy machine. Bounds, window and counts are unchanged.

--- a/tests/platform/gateway_rate_limit_test.cpp
+++ b/tests/platform/gateway_rate_limit_test.cpp
@@ -19,6 +19,10 @@
 /// The most requests that reach the target in one window.
 constexpr std::ptrdiff_t most_in_window = 17;
 
+/// Much longer than the delays of a busy machine: otherwise a gateway takes one of the two equal
+/// targets for the slower one, and leaves it the few requests that this test counts.
+constexpr common::milliseconds work_time{40};
+
 /// A target that names a rate limit and one that does not, behind two gateways.
 class limited_service
 {
@@ -27,10 +31,10 @@
     {
         m_deployment.add_target("t-0", "plain",
                                 [this](const io::http_request& it, const reply& out)
-                                { answer_limited(it, out); });
+                                { receive_limited(it, out); });
         m_deployment.add_target("t-1", "plain",
-                                [](const io::http_request& it, const reply& out)
-                                { out.write(whole_answer(it, 200, "t-1")); });
+                                [this](const io::http_request& it, const reply& out)
+                                { answer_later(out, whole_answer(it, 200, "t-1")); });
         m_deployment.put_config(m_deployment.config(5));
         cr_assert(m_deployment.wait_ready(0));
         cr_assert(m_deployment.wait_ready(1));
@@ -67,14 +71,21 @@
     }
 
 private:
-    void answer_limited(const io::http_request& request, const reply& out)
+    void answer_later(const reply& out, const std::string& answer)
+    {
+        m_timers.push_back(
+            m_deployment.loop().after(work_time, [out, answer] { out.write(answer); }));
+    }
+
+    void receive_limited(const io::http_request& request, const reply& out)
     {
         m_arrivals.push_back(common::now());
         const auto more = m_is_limited ? common::concat("Server-Limit: ", limit_per_s, "\r\n") : "";
-        out.write(whole_answer(request, 200, "t-0", more));
+        answer_later(out, whole_answer(request, 200, "t-0", more));
     }
 
     gateway_deployment m_deployment{2};
+    std::vector<io::timer_handle> m_timers;
     std::vector<common::timestamp> m_arrivals;
     int m_calls = 0;
     bool m_is_limited = true;
