Let parts that waited at a crash not keep out those that were begun

The bound on the parts of a crash was shared by the requests that the target had begun to answer and those that waited. With enough waiting ones first, the part that had crashed the target would not have been remembered. Each set has half of the bound now. The new case of crash_attribution_test adds 500 waiting parts first.

--- a/source/core/policy/crash_attribution.cpp
+++ b/source/core/policy/crash_attribution.cpp
@@ -30,13 +30,11 @@
     return 2 * (part.size() + part_bytes);
 }
 
-std::size_t broadcast_bytes_of(const crash_evidence::crash& it)
+std::size_t broadcast_bytes_of(const std::set<std::string>& parts)
 {
-    const auto add = [](std::size_t sum, const auto& part)
-    { return sum + broadcast_bytes_of(part); };
-    return std::accumulate(it.waiting.begin(), it.waiting.end(),
-                           std::accumulate(it.begun.begin(), it.begun.end(), crash_bytes, add),
-                           add);
+    return std::accumulate(parts.begin(), parts.end(), std::size_t{0},
+                           [](std::size_t sum, const auto& it)
+                           { return sum + broadcast_bytes_of(it); });
 }
 
 /// Passes the entries of a map, beginning with the key `next`, to `take` until that returns false.
@@ -109,17 +107,17 @@
     if (parts.empty())
         return;
     auto& it = m_crashes.try_emplace(target, crash{now, false, {}, {}}).first->second;
-    add_parts(has_head ? it.begun : it.waiting, {parts.begin(), parts.end()}, it);
+    add_parts(has_head ? it.begun : it.waiting, {parts.begin(), parts.end()});
     hold(it);
 }
 
-/// Adds parts to those of a crash, as far as the crash still fits a broadcast.
-void crash_attribution::add_parts(std::set<std::string>& to, const std::set<std::string>& parts,
-                                  const crash& of)
+/// Adds parts to one of the two sets of a crash, each of which may fill half of a broadcast: the
+/// parts that waited at the target must not keep out those that it had begun to answer.
+void crash_attribution::add_parts(std::set<std::string>& to, const std::set<std::string>& parts)
 {
     for (const auto& it : parts)
     {
-        if (broadcast_bytes_of(of) + broadcast_bytes_of(it) <= m_options.max_broadcast_bytes &&
+        if (broadcast_bytes_of(to) + broadcast_bytes_of(it) <= m_options.max_broadcast_bytes / 2 &&
             to.insert(it).second)
             ++m_evidence_version;
     }
@@ -168,8 +166,8 @@
         own.at = std::min(own.at, it.at);
         if (it.is_confirmed)
             confirm(own);
-        add_parts(own.begun, it.begun, own);
-        add_parts(own.waiting, it.waiting, own);
+        add_parts(own.begun, it.begun);
+        add_parts(own.waiting, it.waiting);
         hold(own);
     }
     for (const auto& [part, at] : from.served)
@@ -424,7 +422,8 @@
                      const auto& [target, it] = entry;
                      if (now - it.at > m_options.broadcast_time)
                          return true;
-                     bytes += target.size() + broadcast_bytes_of(it);
+                     bytes += crash_bytes + target.size() + broadcast_bytes_of(it.begun) +
+                              broadcast_bytes_of(it.waiting);
                      if (bytes > m_options.max_broadcast_bytes && !out.crashes.empty())
                          return false;
                      out.crashes.emplace(target, it);
--- a/source/core/policy/crash_attribution.hpp
+++ b/source/core/policy/crash_attribution.hpp
@@ -170,7 +170,7 @@
     void hold(const crash& it);
     bool is_explained(const std::vector<std::string>& parts,
                       const std::set<std::string>& culprits) const;
-    void add_parts(std::set<std::string>& to, const std::set<std::string>& parts, const crash& of);
+    void add_parts(std::set<std::string>& to, const std::set<std::string>& parts);
     void confirm(crash& it);
     void add_quarantine(const std::string& part, timestamp since);
     std::set<std::string> find_culprits(timestamp now, milliseconds settle_time);
--- a/source/unit_tests/policy/crash_attribution_test.cpp
+++ b/source/unit_tests/policy/crash_attribution_test.cpp
@@ -280,6 +280,15 @@
         cr_assert_eq(to.crashes_with(part_of(t, parts_of_a_target - 1)), 1, "target %d", t);
 }
 
+Test(crash_attribution, parts_that_waited_leave_room_for_those_that_were_begun)
+{
+    crash_attribution it;
+    for (int i = 0; i < 500; ++i)
+        it.record_lost("t-0", {"waited-" + std::to_string(i)}, false, start);
+    crash(it, "t-0", deadly, start);
+    cr_assert_eq(it.crashes_with("deadly"), 1);
+}
+
 Test(crash_attribution, evidence_version_changes_with_new_evidence_only)
 {
     crash_attribution it;
