Broadcast only the newest rate limits, so that they fit a datagram

Once a gateway had heard a limit from each of 1,900 targets, its message had all of them each 250 ms, some 100 kB, of which receivers read 16 KiB and refuse the rest whole: loads, limits and counted sends would not arrive.

Change: the 64 limits that were heard last. A gateway hears fewer than that between two broadcasts, so each is sent when it is new. The new case of target_notices_test does not compile without the bound; without the cut it counts 1,900.

--- a/source/core/fleet/target_notices.cpp
+++ b/source/core/fleet/target_notices.cpp
@@ -1,7 +1,9 @@
 #include "fleet/target_notices.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
+#include <vector>
 
 namespace kumquatgap::fleet
 {
@@ -81,7 +83,7 @@
 
 rate_limits target_notices::limits_to_broadcast(timestamp now) const
 {
-    rate_limits out;
+    std::vector<std::pair<std::string, rate_limit>> own;
     for (const auto& [id, it] : m_notices)
     {
         if (it.limit_heard_here_at == timestamp{} ||
@@ -89,9 +91,11 @@
             continue;
         // Another gateway has heard something newer.
         if (it.limit_heard_here_at == it.limit_heard_at)
-            out.emplace(id, rate_limit{it.started_at, it.per_second, it.limit_heard_at});
+            own.emplace_back(id, rate_limit{it.started_at, it.per_second, it.limit_heard_at});
     }
-    return out;
+    std::ranges::sort(own, std::greater{}, [](const auto& it) { return it.second.heard_at; });
+    own.resize(std::min(own.size(), max_broadcast_limits));
+    return {own.begin(), own.end()};
 }
 
 void target_notices::entry_updated(const std::string& id, std::int64_t started_at)
--- a/source/core/fleet/target_notices.hpp
+++ b/source/core/fleet/target_notices.hpp
@@ -2,6 +2,7 @@
 
 #include "common/clock.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -62,6 +63,9 @@
     static constexpr milliseconds broadcast_duration{30'000};
     /// A limit that no response has named for this long is forgotten.
     static constexpr milliseconds rate_limit_lifetime{60'000};
+    /// The most limits in one broadcast, since it has to fit a datagram. More than one gateway
+    /// hears between two broadcasts.
+    static constexpr std::size_t max_broadcast_limits = 64;
     /// The longest time without calls that a target can ask for; longer requests are shortened to
     /// it.
     static constexpr milliseconds max_busy_time{3'600'000};
@@ -78,7 +82,7 @@
     bool note_rate_limit(const std::string& id, const rate_limit& limit, notice_source from);
     /// The targets that have named a limit, with these limits.
     std::map<std::string, double> limited() const;
-    /// What this gateway has heard itself and lately, for broadcast.
+    /// What this gateway has heard itself and lately, for broadcast; the newest if there is more.
     rate_limits limits_to_broadcast(timestamp now) const;
     /// An entry states when the target started; notices of an earlier start end.
     void entry_updated(const std::string& id, std::int64_t started_at);
--- a/source/unit_tests/fleet/target_notices_test.cpp
+++ b/source/unit_tests/fleet/target_notices_test.cpp
@@ -190,3 +190,20 @@
     it.prune(start + 61 * second);
     cr_assert(it.limited().empty(), "no response has named it for a minute");
 }
+
+/// A message with the limits of a whole large group would be cut off on receipt.
+Test(target_notices, newest_limits_are_broadcast_when_many_targets_have_one)
+{
+    constexpr int targets = 1900;
+    target_table it;
+    for (int i = 0; i < targets; ++i)
+    {
+        const auto id = std::to_string(i);
+        it.put(one(id, 50));
+        it.note_rate_limit(id, {50, 2.5, start + milliseconds{i}}, notice_source::answer);
+    }
+    const auto sent = it.limits_to_broadcast(start + milliseconds{targets});
+    cr_assert_eq(sent.size(), target_notices::max_broadcast_limits);
+    cr_assert(sent.contains(std::to_string(targets - 1)));
+    cr_assert(!sent.contains("0"));
+}
