--- a/source/unit_tests/gateway/peer_message_test.cpp
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -137,9 +137,9 @@
 
 Test(peer_message, prompt_with_thousands_of_parts_fits_a_datagram)
 {
-    std::vector<std::string> parts;
-    for (int i = 0; i < 5000; ++i)
-        parts.push_back("assistant/" + std::to_string(1'000'000 + i));
+    std::vector<std::string> parts(5000);
+    std::ranges::generate(parts,
+                          [i = 1'000'000]() mutable { return "assistant/" + std::to_string(i++); });
     policy::crash_attribution lost;
     lost.record_lost("t-0", parts, true, now);
     for (const auto& it : parts)
