--- a/source/unit_tests/gateway/peer_message_test.cpp
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -146,6 +146,8 @@
         lost.adopt(it, now);
     peer_state state;
     state.crashes = lost.to_broadcast(now);
+    cr_assert_eq(state.crashes.crashes.size(), 1);
+    cr_assert(!state.crashes.quarantined.empty());
     cr_assert_leq(to_bytes({"gateway-1", state}, "t", now).size(),
                   io::datagram_socket::max_message_bytes);
 }
