--- a/bench/spread_bench.cpp
+++ b/bench/spread_bench.cpp
@@ -272,7 +272,8 @@
              R"({"state":"live","data_centre":"dc-1","control_address":"10.0.0.1:7001"})",
              static_cast<kv::revision>(items.size() + 1)});
     config::replica out;
-    out.update(static_cast<kv::revision>(items.size() + 1), items);
+    const auto as_of = static_cast<kv::revision>(items.size() + 1);
+    out.update({as_of, std::move(items)});
     return out;
 }
 
@@ -298,9 +299,9 @@
         const auto replica = sample_replica(part);
         const config::view held{replica};
         const auto memory = static_cast<double>(rss_kb() - memory_before) / 1000;
-        snapshot_message all{replica.as_of(), {}};
+        snapshot_message all{{replica.as_of(), {}, replica.era()}};
         for (const auto& [key, it] : replica.items())
-            all.items.push_back(it);
+            all.state.items.push_back(it);
         const auto bytes = to_bytes(all, "t").size();
         constexpr int rounds = 10;
         const auto began = std::chrono::steady_clock::now();
--- a/source/api/api.cpp
+++ b/source/api/api.cpp
@@ -284,7 +284,7 @@
     const auto it = m_watches.insert(m_watches.end(), {responder, nullptr});
     const auto remove_watch = [this, it] { m_loop.defer([this, it] { m_watches.erase(it); }); };
     it->store_watch = m_store.start_watch(
-        config::key_of(k, ""), version + 1,
+        config::key_of(k, ""), {m_store.current_era(), version + 1},
         {[k, responder](auto, const auto& changes)
          {
              for (const auto& change : changes)
--- a/source/core/config/replica.cpp
+++ b/source/core/config/replica.cpp
@@ -5,37 +5,46 @@
 namespace kumquatgap::config
 {
 
-update_result replica::update(revision as_of, const std::vector<key_value>& items)
+update_result replica::update(const snapshot& s)
 {
-    if (as_of < m_as_of)
+    if (s.position() < position())
         return update_result::regressed;
-    if (as_of == m_as_of)
+    if (s.position() == position())
         return update_result::already_known;
+    const bool is_new_era = s.in_era > m_era;
+    if (is_new_era)
+    {
+        m_has_changed_era = is_ready();
+        m_era = s.in_era;
+        m_era_floor = s.as_of;
+    }
     std::map<std::string, key_value> new_items;
-    for (const auto& it : items)
+    for (const auto& it : s.items)
         new_items.emplace(it.key, it);
-    const bool same = std::ranges::equal(new_items, m_items,
-                                         [](const auto& a, const auto& b) {
-                                             return a.first == b.first &&
-                                                    a.second.mod_revision == b.second.mod_revision;
-                                         });
+    // An item of another era may have the same revision and another value.
+    const bool same =
+        !is_new_era && std::ranges::equal(new_items, m_items,
+                                          [](const auto& a, const auto& b) {
+                                              return a.first == b.first &&
+                                                     a.second.mod_revision == b.second.mod_revision;
+                                          });
     if (!same)
         ++m_version;
     m_items = std::move(new_items);
     m_tombstones.clear();
     // A snapshot does not show which keys were deleted since the previous revision, so there are no
     // tombstones for them.
-    m_tombstone_floor = as_of;
-    m_last_change = as_of;
-    m_as_of = as_of;
+    m_tombstone_floor = s.as_of;
+    m_last_change = s.as_of;
+    m_as_of = s.as_of;
     return update_result::applied;
 }
 
 update_result replica::update(const delta& d)
 {
-    if (d.to <= m_as_of)
+    if (kv::position{d.in_era, d.to} <= position())
         return update_result::already_known;
-    if (d.from > m_as_of || !is_ready())
+    if (d.in_era != m_era || d.from > m_as_of || !is_ready())
         return update_result::missing_changes;
     for (const auto& it : d.changes)
         apply(it);
@@ -69,11 +78,12 @@
     }
 }
 
-std::optional<delta> replica::changes_since(revision from) const
+std::optional<delta> replica::changes_since(kv::position since) const
 {
-    if (from < m_tombstone_floor)
+    if (since.in_era != m_era || since.at < m_tombstone_floor)
         return std::nullopt;
-    delta out{from, m_as_of, {}};
+    const auto from = since.at;
+    delta out{from, m_as_of, {}, m_era};
     for (const auto& [key, it] : m_items)
     {
         if (it.mod_revision > from)
--- a/source/core/config/resource_write.cpp
+++ b/source/core/config/resource_write.cpp
@@ -74,10 +74,10 @@
         return write_refused{{result_code::invalid_resource, violation}};
     const auto head = revision_of(response.value(), head_key);
     m_transaction = {};
+    m_transaction.read_in = response.value().in_era;
     m_transaction.guards = {{key, m_resource.version}, {std::string{head_key}, head}};
-    m_transaction.writes = {
-        {key, m_is_erase ? std::nullopt : std::optional{serialize(m_resource)}, 0},
-        {std::string{head_key}, m_resource.writer, 0}};
+    m_transaction.writes = {{key, m_is_erase ? std::nullopt : std::optional{serialize(m_resource)}},
+                            {std::string{head_key}, m_resource.writer}};
     return write_transaction{m_transaction};
 }
 
--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -5,14 +5,31 @@
 namespace kumquatgap::fleet
 {
 
-void target_table::put(target it)
+void target_table::put(target it, timestamp now)
 {
-    if (const auto old = m_rows.find(it.id); old != m_rows.end())
-        drop_claim(old->second.entry);
-    m_claims[it.address].emplace(it.revision, it.id);
     m_notices.entry_updated(it.id, it.started_at);
+    if (const auto old = m_rows.find(it.id); old != m_rows.end())
+    {
+        const auto& known = old->second.entry;
+        if (known.is_draining && known.started_at == it.started_at && !it.is_confirmed)
+            m_notices.note_draining(it.id, it.started_at, notice_source::peer, now);
+        if (old->second.kept_until && *old->second.kept_until <= now)
+            drop(old, *old->second.kept_until);
+        else
+            drop_claim(known);
+    }
+    const bool is_held = !it.is_confirmed && was_removed(it);
+    m_claims[it.address].emplace(it.written_at, it.id);
     const auto id = it.id;
-    m_rows.insert_or_assign(id, row{std::move(it), std::nullopt});
+    m_rows.insert_or_assign(
+        id, row{std::move(it), std::nullopt, is_held ? now + unconfirmed_hold : timestamp{}});
+}
+
+/// True when the entry of this start of the target was removed before.
+bool target_table::was_removed(const target& it) const
+{
+    const auto found = m_removed.find(it.id);
+    return found != m_removed.end() && found->second.started_at == it.started_at;
 }
 
 void target_table::drop_claim(const target& it)
@@ -20,7 +37,7 @@
     const auto claims = m_claims.find(it.address);
     if (claims == m_claims.end())
         return;
-    claims->second.erase({it.revision, it.id});
+    claims->second.erase({it.written_at, it.id});
     if (claims->second.empty())
         m_claims.erase(claims);
 }
@@ -44,7 +61,14 @@
                 std::min(now + max_expired_retention, *store_recovered_at + expiry_grace);
         return;
     }
-    drop_claim(it->second.entry);
+    drop(it, now);
+}
+
+void target_table::drop(std::map<std::string, row>::iterator it, timestamp at)
+{
+    const auto& entry = it->second.entry;
+    m_removed.insert_or_assign(entry.id, removed_target{entry.started_at, at});
+    drop_claim(entry);
     m_rows.erase(it);
 }
 
@@ -57,6 +81,8 @@
 void target_table::prune(timestamp now)
 {
     m_notices.prune([this](const std::string& id) { return m_rows.contains(id); }, now);
+    std::erase_if(m_removed,
+                  [now](const auto& it) { return now - it.second.at > removed_retention; });
 }
 
 bool target_table::note_busy(const std::string& id, std::int64_t started_at, milliseconds time,
@@ -90,14 +116,17 @@
 bool target_table::is_in_service(const row& r, timestamp now) const
 {
     return owns_address(r.entry) && !r.entry.is_draining &&
-           !m_notices.is_draining(r.entry.id, now) && (!r.kept_until || now < *r.kept_until);
+           !m_notices.is_draining(r.entry.id, now) && (!r.kept_until || now < *r.kept_until) &&
+           now >= r.held_until;
 }
 
-bool target_table::is_registered(const std::string& id, std::int64_t started_at) const
+bool target_table::is_registered(const std::string& id, std::int64_t started_at,
+                                 timestamp now) const
 {
     const auto it = m_rows.find(id);
     return it != m_rows.end() && it->second.entry.started_at == started_at &&
-           !it->second.kept_until && owns_address(it->second.entry);
+           (!it->second.kept_until || now < *it->second.kept_until) &&
+           owns_address(it->second.entry);
 }
 
 bool target_table::is_usable(const row& r, timestamp now) const
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -2,6 +2,7 @@
 
 #include "common/clock.hpp"
 #include "fleet/target_notices.hpp"
+#include "kv/position.hpp"
 
 #include <cstdint>
 #include <map>
@@ -28,8 +29,11 @@
     std::string data_centre;
     int slots = 1;
     bool is_draining = false;
-    /// The store revision of the entry; of two entries, the one with the higher revision is newer.
-    std::int64_t revision = 0;
+    /// The position at which the entry was written; of two entries, the one with the later position
+    /// is newer.
+    kv::position written_at;
+    /// False when the store was restored from a copy and the entry may be that of the copy.
+    bool is_confirmed = true;
     /// When the target started, in Unix milliseconds; 0 when it does not report that.
     std::int64_t started_at = 0;
 };
@@ -40,6 +44,10 @@
 ///
 /// An address belongs to the target that wrote its entry last: after a restart of all targets, the
 /// old entries exist beside the new ones until their leases end.
+///
+/// A store that was restored from a copy shows targets as they were when it was made. Such an entry
+/// does not revoke what is known to be newer: that the target drains, or that its entry was
+/// removed.
 class target_table
 {
 public:
@@ -49,9 +57,14 @@
     /// then it still serves for two seconds (the platform's drainMs), of which a call needs some to
     /// reach it.
     static constexpr milliseconds max_expired_retention{1700};
+    /// How long an unconfirmed entry of a target that was removed before is not used. The store
+    /// removes the entry of a target that is gone within this time.
+    static constexpr milliseconds unconfirmed_hold{8000};
+    /// How long a removed target is remembered: longer than a copy of the store is old.
+    static constexpr milliseconds removed_retention{120'000};
 
     /// An entry was written.
-    void put(target it);
+    void put(target it, timestamp now);
     /// An entry was removed. `store_recovered_at` is set if the entry may have expired because the
     /// store was unreachable: the time at which the store became reachable again, or now while it
     /// is not.
@@ -93,8 +106,9 @@
     const target* find_usable(const std::string& id, timestamp now) const;
     /// All targets of a service that accept new calls, by id.
     std::vector<const target*> usable(std::string_view service, timestamp now) const;
-    /// True while this start of a target has an entry, and no newer entry claims its address.
-    bool is_registered(const std::string& id, std::int64_t started_at) const;
+    /// True while this start of a target has an entry, or may have lost it only because the store
+    /// was unreachable, and no newer entry claims its address.
+    bool is_registered(const std::string& id, std::int64_t started_at, timestamp now) const;
     std::size_t size() const { return m_rows.size(); }
 
 private:
@@ -103,17 +117,29 @@
         target entry;
         /// Set when the entry has expired: the target is not used from then on.
         std::optional<timestamp> kept_until;
+        /// The target is not used before this time.
+        timestamp held_until;
+    };
+
+    /// A start of a target whose entry was removed.
+    struct removed_target
+    {
+        std::int64_t started_at = 0;
+        timestamp at;
     };
 
     bool owns_address(const target& it) const;
     bool is_in_service(const row& r, timestamp now) const;
     bool is_usable(const row& r, timestamp now) const;
     void drop_claim(const target& it);
+    void drop(std::map<std::string, row>::iterator it, timestamp at);
+    bool was_removed(const target& it) const;
 
     std::map<std::string, row> m_rows;
+    std::map<std::string, removed_target> m_removed;
     target_notices m_notices;
-    /// The targets that claim an address, by the revisions of their entries; the last one owns it.
-    std::map<std::string, std::set<std::pair<std::int64_t, std::string>>, std::less<>> m_claims;
+    /// The targets that claim an address, by the positions of their entries; the last one owns it.
+    std::map<std::string, std::set<std::pair<kv::position, std::string>>, std::less<>> m_claims;
 };
 
 } // namespace kumquatgap::fleet
--- a/source/core/kv/etcd_store.cpp
+++ b/source/core/kv/etcd_store.cpp
@@ -74,8 +74,8 @@
     if (!it.value)
         return {{"request_delete_range", {{"key", encode(it.key)}}}};
     json put = {{"key", encode(it.key)}, {"value", encode(*it.value)}};
-    if (it.lease != 0)
-        put["lease"] = std::to_string(it.lease);
+    if (it.lease)
+        put["lease"] = std::to_string(it.lease.id);
     return {{"request_put", std::move(put)}};
 }
 
@@ -240,7 +240,7 @@
          });
 }
 
-void etcd_store::grant_lease(common::milliseconds time_to_live, callback<lease_id> done)
+void etcd_store::grant_lease(common::milliseconds time_to_live, callback<lease> done)
 {
     call(call_kind::grant_lease, "/v3/lease/grant",
          {{"TTL", std::to_string(time_to_live.count() / ms_per_s)}},
@@ -248,14 +248,13 @@
          {
              if (!response)
                  return done(response.error());
-             done(
-                 parse_or_fail([&]() -> lease_id { return read_integer(response.value(), "ID"); }));
+             done(parse_or_fail([&] { return lease{read_integer(response.value(), "ID")}; }));
          });
 }
 
-void etcd_store::renew_lease(lease_id lease, callback<common::milliseconds> done)
+void etcd_store::renew_lease(lease it, callback<common::milliseconds> done)
 {
-    call(call_kind::renew_lease, "/v3/lease/keepalive", {{"ID", std::to_string(lease)}},
+    call(call_kind::renew_lease, "/v3/lease/keepalive", {{"ID", std::to_string(it.id)}},
          [done = std::move(done)](common::result<json> response)
          {
              if (!response)
@@ -352,11 +351,11 @@
     io::call_handle m_call;
 };
 
-std::unique_ptr<watch> etcd_store::start_watch(std::string prefix, revision from,
+std::unique_ptr<watch> etcd_store::start_watch(std::string prefix, position from,
                                                watch_events events)
 {
     count_call(call_kind::watch);
-    return std::make_unique<etcd_watch>(*this, prefix, from, std::move(events));
+    return std::make_unique<etcd_watch>(*this, prefix, from.at, std::move(events));
 }
 
 } // namespace kumquatgap::kv
--- a/source/core/kv/etcd_store.hpp
+++ b/source/core/kv/etcd_store.hpp
@@ -29,9 +29,9 @@
     void range(std::string prefix, callback<range_response> done) override;
     void get(std::string key, callback<std::optional<key_value>> done) override;
     void write(std::vector<transaction> batch, callback<std::vector<write_response>> done) override;
-    void grant_lease(common::milliseconds time_to_live, callback<lease_id> done) override;
-    void renew_lease(lease_id lease, callback<common::milliseconds> done) override;
-    std::unique_ptr<watch> start_watch(std::string prefix, revision from,
+    void grant_lease(common::milliseconds time_to_live, callback<lease> done) override;
+    void renew_lease(lease it, callback<common::milliseconds> done) override;
+    std::unique_ptr<watch> start_watch(std::string prefix, position from,
                                        watch_events events) override;
 
 private:
--- a/source/core/membership/gossip_node.cpp
+++ b/source/core/membership/gossip_node.cpp
@@ -36,7 +36,7 @@
                       [](const std::string& name) { return common::hash64(name); });
     const auto is_unknown = [this](const auto& it)
     { return std::ranges::find(m_takeover_order, it.first) == m_takeover_order.end(); };
-    std::erase_if(m_peer_revisions, is_unknown);
+    std::erase_if(m_peer_positions, is_unknown);
     std::erase_if(m_last_sent, is_unknown);
 }
 
@@ -125,9 +125,10 @@
     m_reading = false;
     actions out;
     const auto before = m_replica.version();
-    if (m_replica.update(response.as_of, response.items) == config::update_result::regressed)
+    if (update({response.as_of, response.items, response.in_era}) ==
+        config::update_result::regressed)
     {
-        m_regressed = true;
+        m_regressed_to = {response.in_era, response.as_of};
         return out;
     }
     m_read_backoff = m_options.initial_read_backoff;
@@ -141,15 +142,35 @@
     return out;
 }
 
+config::update_result gossip_node::update(const config::snapshot& s)
+{
+    if (!m_replica.is_ready())
+        m_first_era = s.in_era;
+    return m_replica.update(s);
+}
+
 actions gossip_node::store_failed(timestamp now)
 {
     m_reading = false;
+    actions out;
+    restart_watch(out, now);
+    return out;
+}
+
+/// Replaces the watch, if there is one, after a read of all keys.
+void gossip_node::restart_watch(actions& out, timestamp now)
+{
     if (!std::exchange(m_watching, false))
-        return {};
+        return;
     m_watchers.erase(m_self.name);
-    actions out;
     out.emplace_back(stop_watch{});
     start_read(out, now);
+}
+
+actions gossip_node::store_restored(timestamp now)
+{
+    actions out;
+    restart_watch(out, now);
     return out;
 }
 
@@ -172,7 +193,8 @@
 
 digest gossip_node::own_digest(timestamp now) const
 {
-    digest out{m_self.name, m_self.address, m_replica.as_of(), m_replica.last_change(), {}};
+    digest out{m_self.name, m_self.address, m_replica.as_of(), m_replica.last_change(),
+               {},          m_replica.era()};
     for (const auto& name : m_takeover_order)
     {
         const auto it = m_watchers.find(name);
@@ -230,16 +252,21 @@
     if (const auto* d = std::get_if<digest>(&m))
     {
         update_watchers(*d, now);
-        auto& revision = m_peer_revisions[d->name];
-        revision = std::max(revision, d->as_of);
+        auto& position = m_peer_positions[d->name];
+        position = std::max(position, d->position());
         return respond(*d, now);
     }
     actions out;
     const auto before = m_replica.version();
+    const auto era_before = m_replica.era();
     if (const auto* d = std::get_if<delta_message>(&m))
         m_replica.update(d->changes);
-    else if (const auto* s = std::get_if<snapshot_message>(&m); s->as_of > m_replica.as_of())
-        m_replica.update(s->as_of, s->items);
+    else if (const auto* s = std::get_if<snapshot_message>(&m);
+             s->state.position() > m_replica.position())
+        update(s->state);
+    // A watch reports the changes of the era in which it was started.
+    if (m_replica.era() != era_before)
+        restart_watch(out, now);
     if (m_replica.version() != before)
         announce_change(out, now);
     return out;
@@ -258,8 +285,10 @@
 actions gossip_node::respond(const digest& d, timestamp now)
 {
     actions out;
-    const bool is_behind = d.as_of > m_replica.as_of() && d.last_change > m_replica.last_change();
-    const bool is_ahead = d.as_of < m_replica.as_of() && d.last_change < m_replica.last_change();
+    const kv::position last_change{m_replica.era(), m_replica.last_change()};
+    const kv::position peers_last_change{d.in_era, d.last_change};
+    const bool is_behind = d.position() > m_replica.position() && peers_last_change > last_change;
+    const bool is_ahead = d.position() < m_replica.position() && peers_last_change < last_change;
     // With this digest the sender can send the missing changes, or update its list of watchers.
     if (is_behind || has_outdated_watchers(d, now))
         out.emplace_back(send_message{d.address, own_digest(now)});
@@ -275,20 +304,20 @@
 {
     auto& sent = m_last_sent[to.name];
     const bool is_in_flight = now - sent.at < m_options.resend_after;
-    const auto from = is_in_flight ? std::max(to.as_of, sent.up_to) : to.as_of;
-    if (from >= m_replica.as_of())
+    const auto from = is_in_flight ? std::max(to.position(), sent.up_to) : to.position();
+    if (from >= m_replica.position())
         return;
     if (!is_in_flight)
         sent.at = now;
-    sent.up_to = m_replica.as_of();
+    sent.up_to = m_replica.position();
     if (auto changes = m_replica.changes_since(from))
     {
         out.emplace_back(send_message{to.address, delta_message{std::move(*changes)}});
         return;
     }
-    snapshot_message snapshot{m_replica.as_of(), {}};
+    snapshot_message snapshot{{m_replica.as_of(), {}, m_replica.era()}};
     for (const auto& [key, it] : m_replica.items())
-        snapshot.items.push_back(it);
+        snapshot.state.items.push_back(it);
     out.emplace_back(send_message{to.address, std::move(snapshot)});
 }
 
@@ -303,8 +332,10 @@
     propagation_report out{newest, m_peers.size() + 1, {}};
     for (const auto& it : m_peers)
     {
-        const auto found = m_peer_revisions.find(it.name);
-        const auto revision = found == m_peer_revisions.end() ? 0 : found->second;
+        const auto found = m_peer_positions.find(it.name);
+        const bool is_of_era =
+            found != m_peer_positions.end() && found->second.in_era == m_replica.era();
+        const auto revision = is_of_era ? found->second.at : 0;
         if (revision >= newest)
             continue;
         out.lowest = std::min(out.lowest, revision);
--- a/source/core/membership/gossip_node.hpp
+++ b/source/core/membership/gossip_node.hpp
@@ -106,14 +106,23 @@
     actions read_finished(const kv::range_response& response, timestamp now);
     actions store_failed(timestamp now);
     actions store_changed(const config::delta& d, timestamp now);
+    /// The store has been restored from a copy: the replica is of an earlier era than its
+    /// responses.
+    actions store_restored(timestamp now);
     /// The store has responded and had no new changes, so the watch is alive.
     void store_responded(timestamp now);
 
     const config::replica& replica() const { return m_replica; }
+    /// The era of messages that name none: the first one that this process knew. What a build that
+    /// knows no eras sends after a restore is then taken for older than the replica.
+    kv::era default_era() const { return m_first_era; }
     bool is_watching() const { return m_watching; }
-    /// True once after the store has returned an older revision than the replica has; resets the
-    /// flag.
-    bool take_regression() { return std::exchange(m_regressed, false); }
+    /// The position that the store has returned, if it is older than the replica's; empty when
+    /// asked again.
+    std::optional<kv::position> take_regression()
+    {
+        return std::exchange(m_regressed_to, std::nullopt);
+    }
     /// How far the newest change has reached the peers, from their digests; complete only at the
     /// primary watcher.
     propagation_report report() const;
@@ -131,7 +140,7 @@
     struct last_sent_changes
     {
         timestamp at;
-        kv::revision up_to = 0;
+        kv::position up_to;
     };
 
     std::size_t takeover_position() const;
@@ -146,6 +155,8 @@
     actions respond(const digest& d, timestamp now);
     void send_missing_changes(actions& out, const digest& to, timestamp now);
     void start_read(actions& out, timestamp now);
+    void restart_watch(actions& out, timestamp now);
+    config::update_result update(const config::snapshot& s);
 
     peer m_self;
     gossip_options m_options;
@@ -155,11 +166,12 @@
     /// The names of all processes, in the order in which they take over watching.
     std::vector<std::string> m_takeover_order;
     std::map<std::string, watcher_contact> m_watchers;
-    std::map<std::string, kv::revision> m_peer_revisions;
+    std::map<std::string, kv::position> m_peer_positions;
     std::map<std::string, last_sent_changes> m_last_sent;
     bool m_watching = false;
     bool m_reading = false;
-    bool m_regressed = false;
+    std::optional<kv::position> m_regressed_to;
+    kv::era m_first_era = 0;
     timestamp m_started_at;
     timestamp m_next_read_at;
     milliseconds m_read_backoff;
--- a/source/core/membership/message.cpp
+++ b/source/core/membership/message.cpp
@@ -22,7 +22,8 @@
             {"address", m.address},
             {"as_of", m.as_of},
             {"last_change", m.last_change},
-            {"watchers", std::move(watchers)}};
+            {"watchers", std::move(watchers)},
+            {"era", m.in_era}};
 }
 
 json to_json(const delta_message& m)
@@ -33,28 +34,33 @@
     return {{"type", "delta"},
             {"from", m.changes.from},
             {"to", m.changes.to},
-            {"changes", std::move(changes)}};
+            {"changes", std::move(changes)},
+            {"era", m.changes.in_era}};
 }
 
 json to_json(const snapshot_message& m)
 {
     json items = json::array();
-    for (const auto& it : m.items)
+    for (const auto& it : m.state.items)
         items.push_back({it.key, it.value, it.mod_revision});
-    return {{"type", "snapshot"}, {"as_of", m.as_of}, {"items", std::move(items)}};
+    return {{"type", "snapshot"},
+            {"as_of", m.state.as_of},
+            {"items", std::move(items)},
+            {"era", m.state.in_era}};
 }
 
-digest read_digest(const json& in)
+digest read_digest(const json& in, kv::era default_era)
 {
     digest out{in.at("name"), in.at("address"), in.at("as_of"), in.at("last_change"), {}};
     for (const auto& it : in.at("watchers"))
         out.watchers.push_back({it.at(0), common::milliseconds{it.at(1).get<std::int64_t>()}});
+    out.in_era = in.value("era", default_era);
     return out;
 }
 
-delta_message read_delta(const json& in)
+delta_message read_delta(const json& in, kv::era default_era)
 {
-    delta_message out{{in.at("from"), in.at("to"), {}}};
+    delta_message out{{in.at("from"), in.at("to"), {}, in.value("era", default_era)}};
     for (const auto& it : in.at("changes"))
     {
         const auto& value = it.at(1);
@@ -65,11 +71,11 @@
     return out;
 }
 
-snapshot_message read_snapshot(const json& in)
+snapshot_message read_snapshot(const json& in, kv::era default_era)
 {
-    snapshot_message out{in.at("as_of"), {}};
+    snapshot_message out{{in.at("as_of"), {}, in.value("era", default_era)}};
     for (const auto& it : in.at("items"))
-        out.items.push_back({it.at(0), it.at(1), it.at(2)});
+        out.state.items.push_back({it.at(0), it.at(1), it.at(2)});
     return out;
 }
 
@@ -87,7 +93,7 @@
     if (const auto* d = std::get_if<delta_message>(&m))
         return d->changes.to;
     if (const auto* s = std::get_if<snapshot_message>(&m))
-        return s->as_of;
+        return s->state.as_of;
     return std::get<digest>(m).as_of;
 }
 
@@ -100,7 +106,8 @@
     return out;
 }
 
-std::optional<message> from_bytes(std::string_view bytes, std::string_view token)
+std::optional<message> from_bytes(std::string_view bytes, std::string_view token,
+                                  kv::era default_era)
 {
     const auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
     try
@@ -109,11 +116,11 @@
             return std::nullopt;
         const auto type = body.at("type").get<std::string>();
         if (type == "digest")
-            return read_digest(body);
+            return read_digest(body, default_era);
         if (type == "delta")
-            return read_delta(body);
+            return read_delta(body, default_era);
         if (type == "snapshot")
-            return read_snapshot(body);
+            return read_snapshot(body, default_era);
     }
     catch (const json::exception&)
     {
--- a/source/core/membership/message.hpp
+++ b/source/core/membership/message.hpp
@@ -28,6 +28,9 @@
     kv::revision as_of = 0;
     kv::revision last_change = 0;
     std::vector<watcher> watchers;
+    kv::era in_era = 0;
+
+    kv::position position() const { return {in_era, as_of}; }
 };
 
 /// The changes that the receiver lacks.
@@ -39,8 +42,7 @@
 /// All replicated keys, for a receiver that is too far behind for a delta.
 struct snapshot_message
 {
-    kv::revision as_of = 0;
-    std::vector<kv::key_value> items;
+    config::snapshot state;
 };
 
 using message = std::variant<digest, delta_message, snapshot_message>;
@@ -52,7 +54,9 @@
 
 /// Encodes a message as CBOR, with the deployment's token.
 std::string to_bytes(const message& m, std::string_view token);
-/// Decodes a message; nullopt when it is malformed or carries another token.
-std::optional<message> from_bytes(std::string_view bytes, std::string_view token);
+/// Decodes a message; nullopt when it is malformed or carries another token. A message of a build
+/// that knows no eras counts as one of `default_era`.
+std::optional<message> from_bytes(std::string_view bytes, std::string_view token,
+                                  kv::era default_era = 0);
 
 } // namespace kumquatgap::membership
--- a/source/core/shell/config_follower.cpp
+++ b/source/core/shell/config_follower.cpp
@@ -72,6 +72,8 @@
                                 [this] { execute_actions(m_gossip.tick(common::now())); });
     m_head_timer = m_loop.every(head_check_period, [this] { check_head(); });
     m_status_timer = m_loop.every(status_period, [this] { write_status(); });
+    // Deferred, since the response that shows the restore may itself end the watch.
+    m_store.on_restored([this] { m_loop.defer([this] { handle_store_restored(); }); });
     execute_actions(m_gossip.begin(common::now()));
     return true;
 }
@@ -87,9 +89,12 @@
 {
     for (const auto& it : actions)
         std::visit([this](const auto& action) { execute(action); }, it);
-    if (m_gossip.take_regression())
+    if (const auto to = m_gossip.take_regression())
         common::log(common::log_level::error, "config_regressed",
-                    {{"own_revision", replica().as_of()}});
+                    {{"own_revision", replica().as_of()},
+                     {"own_era", replica().era()},
+                     {"revision", to->at},
+                     {"era", to->in_era}});
     refresh();
 }
 
@@ -119,13 +124,15 @@
 
 void config_follower::execute(const membership::start_watch& /*it*/)
 {
-    common::log(common::log_level::info, "watch_started", {{"revision", replica().as_of()}});
+    const auto era = replica().era();
+    common::log(common::log_level::info, "watch_started",
+                {{"revision", replica().as_of()}, {"era", era}});
     m_watch = m_store.start_watch(
-        std::string{config::replicated_prefix}, replica().as_of() + 1,
-        {[this](auto as_of, auto changes)
+        std::string{config::replicated_prefix}, {era, replica().as_of() + 1},
+        {[this, era](auto as_of, auto changes)
          {
-             execute_actions(m_gossip.store_changed({replica().as_of(), as_of, std::move(changes)},
-                                                    common::now()));
+             execute_actions(m_gossip.store_changed(
+                 {replica().as_of(), as_of, std::move(changes), era}, common::now()));
          },
          [this](const failure& why) { on_watch_lost(why); }});
 }
@@ -138,7 +145,8 @@
 
 void config_follower::receive(std::string_view bytes)
 {
-    const auto message = membership::from_bytes(bytes, m_settings.deployment_token);
+    const auto message =
+        membership::from_bytes(bytes, m_settings.deployment_token, m_gossip.default_era());
     if (!message)
     {
         common::log(common::log_level::warn, "control_message_refused",
@@ -182,8 +190,20 @@
                 });
 }
 
+void config_follower::handle_store_restored()
+{
+    if (replica().era() < m_store.current_era())
+        execute_actions(m_gossip.store_restored(common::now()));
+    m_written_status.clear();
+}
+
 void config_follower::refresh()
 {
+    // The peers have seen a restored store. The other users of the store in this process learn it
+    // from a response only.
+    if (replica().era() > m_store.current_era() && !std::exchange(m_is_era_requested, true))
+        m_store.get(std::string{config::head_key},
+                    [this](const auto& /*response*/) { m_is_era_requested = false; });
     if (m_view_version == replica().version())
         return;
     m_view_version = replica().version();
@@ -218,7 +238,7 @@
     if (status == m_written_status)
         return;
     const auto key = std::string{config::status_prefix} + m_settings.data_centre;
-    m_store.write({{{}, {{key, status, 0}}}},
+    m_store.write({{{}, {{key, status}}}},
                   [this, status](const auto& response)
                   {
                       if (response)
--- a/source/core/shell/config_follower.hpp
+++ b/source/core/shell/config_follower.hpp
@@ -42,6 +42,7 @@
     void receive(std::string_view bytes);
     void on_watch_lost(const common::failure& why);
     void check_head();
+    void handle_store_restored();
     void refresh();
     void update_peers();
     void write_status();
@@ -53,6 +54,7 @@
     io::control_bus m_bus;
     std::vector<membership::peer> m_seeds;
     /// Version of the replica that m_view was built from.
+    bool m_is_era_requested = false;
     std::uint64_t m_view_version = 0;
     std::shared_ptr<const config::view> m_view = std::make_shared<config::view>();
     std::function<void()> m_on_change;
--- a/source/core/shell/ledger_writer.cpp
+++ b/source/core/shell/ledger_writer.cpp
@@ -26,7 +26,7 @@
 {
     kv::transaction it;
     it.guards.push_back({key, expected});
-    it.writes.push_back({std::move(key), std::move(value), 0});
+    it.writes.push_back({std::move(key), std::move(value)});
     m_pending.push_back({std::move(it), std::move(callback)});
     flush();
 }
@@ -36,7 +36,7 @@
     if (m_is_busy || m_pending.empty())
         return;
     m_is_busy = true;
-    if (m_lease == 0 || common::now() >= m_lease_replace_at)
+    if (!m_lease || common::now() >= m_lease_replace_at)
         replace_lease();
     else
         send_batch();
@@ -45,7 +45,7 @@
 void ledger_writer::replace_lease()
 {
     m_store.grant_lease(m_options.retention + lease_reuse_time,
-                        [this](const common::result<kv::lease_id>& response)
+                        [this](const common::result<kv::lease>& response)
                         {
                             if (!response)
                                 return fail_pending(response.error());
@@ -90,7 +90,7 @@
                                      flush();
                                  });
     if (!response && response.error().code == common::result_code::not_found)
-        m_lease = 0;
+        m_lease = {};
     for (std::size_t i = 0; i < batch.size(); ++i)
     {
         if (response)
--- a/source/core/shell/ledger_writer.hpp
+++ b/source/core/shell/ledger_writer.hpp
@@ -57,7 +57,7 @@
     io::timer_handle m_flush_timer;
     /// Attached to the records, which expire with it; 0 for none. It is never extended: later
     /// records get a new lease.
-    kv::lease_id m_lease = 0;
+    kv::lease m_lease;
     common::timestamp m_lease_replace_at;
 };
 
--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace kumquatgap::gateway
 {
@@ -115,7 +116,7 @@
                   { return std::ranges::find(unconfirmed, it.first) == unconfirmed.end(); });
     for (const auto& [key, it] : m_lost)
     {
-        if (!targets.is_registered(it.first, it.second))
+        if (!targets.is_registered(it.first, it.second, now))
             m_attribution.record_gone(key, now);
     }
 }
@@ -173,7 +174,7 @@
                         });
 }
 
-void crash_guard::write_entry(const std::string& part, kv::lease_id lease)
+void crash_guard::write_entry(const std::string& part, kv::lease lease)
 {
     const auto key = common::concat(quarantine_prefix, part);
     const auto value =
@@ -192,7 +193,7 @@
 
 void crash_guard::remove_entry(const std::string& part)
 {
-    m_store.write({{{}, {{common::concat(quarantine_prefix, part), std::nullopt, 0}}}},
+    m_store.write({{{}, {{common::concat(quarantine_prefix, part), std::nullopt}}}},
                   [part](const auto& response)
                   {
                       if (!response)
@@ -201,15 +202,18 @@
                   });
 }
 
-void crash_guard::handle_entry(const std::string& part, bool is_present, timestamp now)
+void crash_guard::handle_entry(const std::string& part, entry_change what, timestamp now)
 {
-    common::log(common::log_level::info, is_present ? "quarantine_stored" : "quarantine_ended",
-                {{"part", part}});
+    static constexpr auto events = std::to_array<std::string_view>(
+        {"quarantine_stored", "quarantine_ended", "quarantine_lost"});
+    common::log(common::log_level::info, events[static_cast<std::size_t>(what)], {{"part", part}});
     m_unsaved.erase(part);
-    if (is_present)
+    if (what == entry_change::written)
         m_attribution.adopt(part, now);
-    else
+    else if (what == entry_change::removed)
         m_attribution.release(part, now);
+    else
+        m_unsaved.emplace(part, now + save_spread);
 }
 
 void crash_guard::write_metrics(common::metrics& m) const
--- a/source/gateway/crash_guard.hpp
+++ b/source/gateway/crash_guard.hpp
@@ -2,6 +2,7 @@
 
 #include "common/metrics.hpp"
 #include "fleet/target_table.hpp"
+#include "gateway/entry_change.hpp"
 #include "gateway/protocol_adapter.hpp"
 #include "io/http_client.hpp"
 #include "kv/store.hpp"
@@ -47,7 +48,7 @@
     policy::crash_attribution& attribution() { return m_attribution; }
     const policy::crash_attribution& attribution() const { return m_attribution; }
     /// The store has a key with the prefix, or no longer.
-    void handle_entry(const std::string& part, bool is_present, timestamp now);
+    void handle_entry(const std::string& part, entry_change what, timestamp now);
     /// Draws conclusions; `draw`, a random number in [0, 1), spreads the writes of the gateways.
     /// `broadcast_interval` is the time between two broadcasts of a gateway.
     void tick(const fleet::target_table& targets, timestamp now, double draw,
@@ -63,7 +64,7 @@
                       const io::http_response& response);
     void confirm_replaced(const fleet::target_table& targets, timestamp now);
     void save(const std::string& part);
-    void write_entry(const std::string& part, kv::lease_id lease);
+    void write_entry(const std::string& part, kv::lease lease);
     void remove_entry(const std::string& part);
 
     struct open_probe
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -118,8 +118,8 @@
     m_settings_follower = std::make_unique<shell::settings_follower>(
         m_loop, shell::settings_path(), [this](const std::string& text) { reload_settings(text); });
     m_follower.on_change([this] { handle_state_change(); });
-    m_follower.on_entry(std::string{quarantine_prefix}, [this](const auto& part, bool is_present)
-                        { m_crash_guard.handle_entry(part, is_present, common::now()); });
+    m_follower.on_entry(std::string{quarantine_prefix}, [this](const auto& part, entry_change what)
+                        { m_crash_guard.handle_entry(part, what, common::now()); });
     m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
     m_store_calls_timer =
         m_loop.every(store_calls_log_period, [this] { m_store.counts().log_totals(); });
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -21,6 +21,9 @@
 /// The entry of a stopped gateway expires after this time.
 constexpr milliseconds registration_ttl{10'000};
 constexpr milliseconds registration_period{3000};
+/// The time that the operators have to write their configuration again once the store has been
+/// restored.
+constexpr milliseconds rewrite_grace{2000};
 
 membership::gossip_options make_gossip_options()
 {
@@ -60,8 +63,11 @@
                                 [this]
                                 {
                                     m_targets.prune(common::now());
+                                    prune_gateways(common::now());
                                     execute_all(m_gossip.tick(common::now()));
                                 });
+    // Deferred, since the response that shows the restore may itself end the watch.
+    m_store.on_restored([this] { m_loop.defer([this] { handle_store_restored(); }); });
     execute_all(m_gossip.begin(common::now()));
     register_self();
     return true;
@@ -70,6 +76,7 @@
 void state_follower::write_metrics(common::metrics& m, common::timestamp now) const
 {
     m.set("kqg_state_revision", as_of());
+    m.set("kqg_store_era", m_store.current_era());
     m.set("kqg_config_version", m_configuration ? m_configuration->version : 0);
     m.set("kqg_targets", static_cast<std::int64_t>(m_targets.size()));
     m.set("kqg_gateways", static_cast<std::int64_t>(m_peers.size() + 1));
@@ -85,8 +92,12 @@
 {
     for (const auto& it : list)
         std::visit([this](const auto& action) { execute(action); }, it);
-    if (m_gossip.take_regression())
-        common::log(common::log_level::error, "state_regressed", {{"own_revision", as_of()}});
+    if (const auto to = m_gossip.take_regression())
+        common::log(common::log_level::error, "state_regressed",
+                    {{"own_revision", as_of()},
+                     {"own_era", m_gossip.replica().era()},
+                     {"revision", to->at},
+                     {"era", to->in_era}});
     apply_replica_changes();
 }
 
@@ -112,15 +123,16 @@
 
 void state_follower::execute(const membership::start_watch& /*it*/)
 {
-    common::log(common::log_level::info, "watch_started", {{"revision", as_of()}});
-    m_watch = m_store.start_watch(
-        std::string{m_adapter.replicated_prefix()}, as_of() + 1,
-        {[this](auto to, auto changes)
-         {
-             handle_store_success();
-             execute_all(m_gossip.store_changed({as_of(), to, std::move(changes)}, common::now()));
-         },
-         [this](const failure& why) { handle_store_failure(why); }});
+    const auto era = m_gossip.replica().era();
+    common::log(common::log_level::info, "watch_started", {{"revision", as_of()}, {"era", era}});
+    m_watch = m_store.start_watch(std::string{m_adapter.replicated_prefix()}, {era, as_of() + 1},
+                                  {[this, era](auto to, auto changes)
+                                   {
+                                       handle_store_success();
+                                       execute_all(m_gossip.store_changed(
+                                           {as_of(), to, std::move(changes), era}, common::now()));
+                                   },
+                                   [this](const failure& why) { handle_store_failure(why); }});
 }
 
 void state_follower::execute(const membership::stop_watch& /*it*/)
@@ -131,7 +143,8 @@
 
 void state_follower::receive(std::string_view bytes)
 {
-    const auto m = membership::from_bytes(bytes, m_settings.deployment_token);
+    const auto m =
+        membership::from_bytes(bytes, m_settings.deployment_token, m_gossip.default_era());
     if (!m)
     {
         common::log(common::log_level::warn, "control_message_refused",
@@ -141,6 +154,13 @@
     execute_all(m_gossip.handle(*m, common::now()));
 }
 
+void state_follower::handle_store_restored()
+{
+    if (m_gossip.replica().era() < m_store.current_era())
+        execute_all(m_gossip.store_restored(common::now()));
+    register_self();
+}
+
 void state_follower::handle_store_success()
 {
     m_store_responded_at = common::now();
@@ -177,49 +197,53 @@
         return;
     m_applied_version = m_gossip.replica().version();
     const auto& items = m_gossip.replica().items();
+    const auto removal =
+        m_gossip.replica().era() == m_applied_era ? entry_change::removed : entry_change::lost;
     for (const auto& [key, it] : items)
     {
-        auto& known = m_applied_revisions[key];
-        if (known == it.mod_revision)
+        const kv::position written_at{m_gossip.replica().era(), it.mod_revision};
+        if (std::exchange(m_applied_positions[key], written_at) == written_at)
             continue;
-        known = it.mod_revision;
         apply_written(it);
     }
-    for (auto it = m_applied_revisions.begin(); it != m_applied_revisions.end();)
+    for (auto it = m_applied_positions.begin(); it != m_applied_positions.end();)
     {
         if (items.contains(it->first))
         {
             ++it;
             continue;
         }
-        apply_removed(it->first);
-        it = m_applied_revisions.erase(it);
+        apply_removed(it->first, removal);
+        it = m_applied_positions.erase(it);
     }
+    m_applied_era = m_gossip.replica().era();
     update_peers();
     if (m_on_change)
         m_on_change();
 }
 
 /// Calls the handler of the key's prefix; false when there is none.
-bool state_follower::notify_entry_handler(const std::string& key, bool is_present)
+bool state_follower::notify_entry_handler(const std::string& key, entry_change what)
 {
     const auto it = std::ranges::find_if(m_entry_handlers, [&](const auto& entry)
                                          { return key.starts_with(entry.first); });
     if (it == m_entry_handlers.end())
         return false;
-    it->second(key.substr(it->first.size()), is_present);
+    it->second(key.substr(it->first.size()), what);
     return true;
 }
 
 void state_follower::apply_written(const kv::key_value& it)
 {
-    if (notify_entry_handler(it.key, true))
+    if (notify_entry_handler(it.key, entry_change::written))
         return;
     if (m_adapter.is_configuration(it.key))
         return adopt_configuration(it);
     if (it.key.starts_with(gateways_prefix))
     {
-        m_gateway_addresses.insert_or_assign(it.key.substr(gateways_prefix.size()), it.value);
+        const auto name = it.key.substr(gateways_prefix.size());
+        m_gateway_addresses.insert_or_assign(name, it.value);
+        m_gateways_kept_until.erase(name);
         return;
     }
     if (it.key.starts_with(fleet::slowdown_prefix))
@@ -230,14 +254,17 @@
     auto found = m_adapter.read_target(id, it.value);
     if (!found)
         return m_targets.remove(std::string{id}, common::now(), std::nullopt);
+    const bool is_confirmed = m_gossip.replica().is_confirmed(it);
     common::log(common::log_level::info, "target_learnt",
                 {{"target", found->id},
                  {"service", found->service},
                  {"address", found->address},
                  {"leaving", found->is_draining ? 1 : 0},
-                 {"revision", it.mod_revision}});
-    found->revision = it.mod_revision;
-    m_targets.put(std::move(*found));
+                 {"revision", it.mod_revision},
+                 {"is_confirmed", is_confirmed ? 1 : 0}});
+    found->written_at = {m_gossip.replica().era(), it.mod_revision};
+    found->is_confirmed = is_confirmed;
+    m_targets.put(std::move(*found), common::now());
 }
 
 void state_follower::release_address(const std::string& id)
@@ -306,9 +333,9 @@
     return it == m_slowdowns.end() ? 1 : it->second;
 }
 
-void state_follower::apply_removed(const std::string& key)
+void state_follower::apply_removed(const std::string& key, entry_change how)
 {
-    if (notify_entry_handler(key, false))
+    if (notify_entry_handler(key, how))
         return;
     if (key.starts_with(fleet::slowdown_prefix))
     {
@@ -317,7 +344,7 @@
     }
     if (key.starts_with(gateways_prefix))
     {
-        m_gateway_addresses.erase(key.substr(gateways_prefix.size()));
+        remove_gateway(key.substr(gateways_prefix.size()), common::now());
         return;
     }
     const auto id = m_adapter.target_id(key);
@@ -335,19 +362,82 @@
     auto found = m_adapter.read_configuration(it.value);
     if (!found)
         return;
-    const auto own = m_configuration ? m_configuration->version : 0;
-    if (found->version < own)
-    {
-        common::log(common::log_level::error, "configuration_regressed",
-                    {{"version", found->version}, {"own_version", own}});
-        return;
-    }
+    if (may_adopt(*found, it))
+        put_in_force(std::move(*found), it.mod_revision);
+}
+
+void state_follower::put_in_force(fleet::configuration found, kv::revision revision)
+{
     common::log(common::log_level::info, "configuration_in_force",
-                {{"version", found->version},
-                 {"revision", it.mod_revision},
-                 {"routes", found->route_count()}});
+                {{"version", found.version},
+                 {"revision", revision},
+                 {"era", m_gossip.replica().era()},
+                 {"routes", found.route_count()}});
+    m_older_configuration_timer.reset();
     m_configuration_adopted_at = common::now();
-    m_configuration = std::make_shared<const fleet::configuration>(std::move(*found));
+    m_configuration_era = m_gossip.replica().era();
+    m_configuration = std::make_shared<const fleet::configuration>(std::move(found));
+}
+
+/// The shares of the gateways in what they use together depend on how many there are, so one whose
+/// entry may be written again is not taken out at once.
+void state_follower::remove_gateway(const std::string& name, common::timestamp now)
+{
+    if (recent_outage_end(now))
+        m_gateways_kept_until.insert_or_assign(name, now + registration_ttl);
+    else
+        m_gateway_addresses.erase(name);
+}
+
+/// Removes the gateways that have not written their entries again.
+void state_follower::prune_gateways(common::timestamp now)
+{
+    const auto has_ended = [now](const auto& it) { return it.second <= now; };
+    if (std::ranges::none_of(m_gateways_kept_until, has_ended))
+        return;
+    std::erase_if(m_gateway_addresses,
+                  [&](const auto& it)
+                  {
+                      const auto found = m_gateways_kept_until.find(it.first);
+                      return found != m_gateways_kept_until.end() && has_ended(*found);
+                  });
+    std::erase_if(m_gateways_kept_until, has_ended);
+    update_peers();
+}
+
+/// Within an era, an older version than the one in force is an error. A restored store may have an
+/// older one until the operators have written theirs again; what it has after that time, or what is
+/// written in the new era, is in force.
+bool state_follower::may_adopt(const fleet::configuration& found, const kv::key_value& it)
+{
+    const auto own = m_configuration ? m_configuration->version : 0;
+    if (found.version >= own)
+        return true;
+    const bool is_same_era = m_gossip.replica().era() == m_configuration_era;
+    if (!is_same_era && m_gossip.replica().is_confirmed(it))
+        return true;
+    common::log(is_same_era ? common::log_level::error : common::log_level::warn,
+                is_same_era ? "configuration_regressed" : "older_configuration_restored",
+                {{"version", found.version},
+                 {"own_version", own},
+                 {"era", m_gossip.replica().era()},
+                 {"own_era", m_configuration_era}});
+    if (!is_same_era)
+        m_older_configuration_timer =
+            m_loop.after(rewrite_grace, [this, key = it.key] { adopt_older_configuration(key); });
+    return false;
+}
+
+void state_follower::adopt_older_configuration(const std::string& key)
+{
+    const auto& items = m_gossip.replica().items();
+    const auto it = items.find(key);
+    auto found = it == items.end() ? std::nullopt : m_adapter.read_configuration(it->second.value);
+    if (!found)
+        return;
+    put_in_force(std::move(*found), it->second.mod_revision);
+    if (m_on_change)
+        m_on_change();
 }
 
 void state_follower::update_peers()
@@ -366,7 +456,9 @@
     m_register_timer = m_loop.every(registration_period, [this] { register_self(); });
     if (m_settings.control_address.empty())
         return;
-    if (m_lease != 0)
+    if (m_lease.granted_in != m_store.current_era())
+        m_lease = {};
+    if (m_lease)
         return m_store.renew_lease(m_lease,
                                    [this](const auto& response)
                                    {
@@ -402,7 +494,7 @@
                 {{"code", common::number(why.code)}, {"detail", why.detail}});
     const bool is_written = m_gateway_addresses.contains(m_settings.host);
     if (why.code == common::result_code::not_found || !is_written)
-        m_lease = 0;
+        m_lease = {};
 }
 
 } // namespace kumquatgap::gateway
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet/configuration.hpp"
 #include "fleet/target_table.hpp"
+#include "gateway/entry_change.hpp"
 #include "gateway/protocol_adapter.hpp"
 #include "io/control_bus.hpp"
 #include "io/event_loop.hpp"
@@ -50,9 +51,8 @@
     kv::revision as_of() const { return m_gossip.replica().as_of(); }
     /// Calls fn after every change of the configuration or the targets.
     void on_change(std::function<void()> fn) { m_on_change = std::move(fn); }
-    /// Calls fn when a key with the prefix is written or removed, with the rest of the key and
-    /// whether it exists.
-    void on_entry(std::string prefix, std::function<void(const std::string&, bool)> fn)
+    /// Calls fn when a key with the prefix has changed, with the rest of the key.
+    void on_entry(std::string prefix, std::function<void(const std::string&, entry_change)> fn)
     {
         m_entry_handlers.insert_or_assign(std::move(prefix), std::move(fn));
     }
@@ -65,15 +65,21 @@
     void execute(const membership::start_watch& it);
     void execute(const membership::stop_watch& it);
     void receive(std::string_view bytes);
+    void handle_store_restored();
     void handle_store_success();
     void handle_store_failure(const common::failure& why);
     std::optional<common::timestamp> recent_outage_end(common::timestamp now) const;
     void apply_replica_changes();
     void apply_slowdown(const kv::key_value& it);
-    bool notify_entry_handler(const std::string& key, bool is_present);
+    bool notify_entry_handler(const std::string& key, entry_change what);
     void apply_written(const kv::key_value& it);
-    void apply_removed(const std::string& key);
+    void apply_removed(const std::string& key, entry_change how);
+    void remove_gateway(const std::string& name, common::timestamp now);
+    void prune_gateways(common::timestamp now);
     void adopt_configuration(const kv::key_value& it);
+    bool may_adopt(const fleet::configuration& found, const kv::key_value& it);
+    void adopt_older_configuration(const std::string& key);
+    void put_in_force(fleet::configuration found, kv::revision revision);
     void update_peers();
     void register_self();
     void write_registration();
@@ -86,24 +92,31 @@
     membership::gossip_node m_gossip;
     io::control_bus m_bus;
     std::uint64_t m_applied_version = 0;
-    /// The revision of each item that was applied last.
-    std::map<std::string, kv::revision> m_applied_revisions;
+    /// The position of each item that was applied last.
+    std::map<std::string, kv::position> m_applied_positions;
+    kv::era m_applied_era = 0;
     std::shared_ptr<const fleet::configuration> m_configuration;
     fleet::target_table m_targets;
     /// Slowdown by address.
     std::map<std::string, double> m_slowdowns;
     /// Control address by gateway name, this gateway included.
     std::map<std::string, std::string> m_gateway_addresses;
+    /// Until when a gateway is kept whose entry may have ended only because the store was away or
+    /// was restored.
+    std::map<std::string, common::timestamp> m_gateways_kept_until;
     std::vector<membership::peer> m_peers;
     std::function<void()> m_on_change;
-    std::map<std::string, std::function<void(const std::string&, bool)>> m_entry_handlers;
+    std::map<std::string, std::function<void(const std::string&, entry_change)>> m_entry_handlers;
     std::unique_ptr<kv::watch> m_watch;
-    kv::lease_id m_lease = 0;
+    kv::lease m_lease;
     bool m_store_is_lost = false;
     common::timestamp m_store_recovered_at;
     /// When the store last responded, and when the current configuration was adopted.
     common::timestamp m_store_responded_at;
     common::timestamp m_configuration_adopted_at;
+    kv::era m_configuration_era = 0;
+    /// Set while the restored store has an older configuration than the one in force.
+    io::timer_handle m_older_configuration_timer;
     io::timer_handle m_tick_timer;
     io::timer_handle m_register_timer;
 };
--- a/source/rank_agent/leadership.cpp
+++ b/source/rank_agent/leadership.cpp
@@ -139,7 +139,7 @@
                         });
 }
 
-void leadership::write_key(kv::lease_id lease, timestamp requested_at, kv::revision expected)
+void leadership::write_key(kv::lease lease, timestamp requested_at, kv::revision expected)
 {
     m_is_request_pending = true;
     m_boot_offset_ms = boot_offset_ms();
--- a/source/rank_agent/leadership.hpp
+++ b/source/rank_agent/leadership.hpp
@@ -37,7 +37,7 @@
     void on_leader_read(const std::optional<kv::key_value>& it);
     /// Takes over leadership if the key still has this revision, or does not exist if it is 0.
     void campaign(kv::revision expected);
-    void write_key(kv::lease_id lease, common::timestamp requested_at, kv::revision expected);
+    void write_key(kv::lease lease, common::timestamp requested_at, kv::revision expected);
     void renew();
     void step_down(std::string_view reason);
 
@@ -49,7 +49,7 @@
     /// From 0 to below 1, different for each agent, so that agents query the store at different
     /// times.
     double m_jitter;
-    kv::lease_id m_lease = 0;
+    kv::lease m_lease;
     experts::fencing_token m_token = 0;
     /// The lease is certain to be valid until then; counted from the time of the request.
     common::timestamp m_valid_until;
--- a/source/rank_agent/slowdown_publisher.cpp
+++ b/source/rank_agent/slowdown_publisher.cpp
@@ -31,7 +31,7 @@
 {
     const double wanted = slowdown < min_slowdown ? 1 : slowdown;
     const bool has_changed = std::abs(wanted - m_published) >= min_relative_change * m_published;
-    const bool has_key = m_lease != 0;
+    const bool has_key = static_cast<bool>(m_lease);
     if (m_is_request_pending || (!has_changed && !has_key) ||
         now - m_requested_at < request_interval)
         return;
@@ -46,7 +46,7 @@
 
 void slowdown_publisher::write(double slowdown)
 {
-    const auto put = [this, slowdown](kv::lease_id lease)
+    const auto put = [this, slowdown](kv::lease lease)
     {
         m_store.write(
             {{{}, {{m_key, fleet::slowdown_to_text(slowdown), lease}}}},
@@ -63,7 +63,7 @@
                     {{"key", m_key}, {"pace_thousandths", fleet::slowdown_to_text(slowdown)}});
             });
     };
-    if (m_lease != 0)
+    if (m_lease)
         return put(m_lease);
     m_store.grant_lease(lease_ttl,
                         [this, put](const auto& response)
@@ -84,21 +84,22 @@
                             m_is_request_pending = false;
                             if (response || response.error().code != common::result_code::not_found)
                                 return;
-                            m_lease = 0;
+                            m_lease = {};
                             m_published = 1;
+                            m_requested_at = {};
                         });
 }
 
 void slowdown_publisher::remove()
 {
-    m_store.write({{{}, {{m_key, std::nullopt, 0}}}},
+    m_store.write({{{}, {{m_key, std::nullopt}}}},
                   [this](const auto& response)
                   {
                       m_is_request_pending = false;
                       if (!response)
                           return common::log(common::log_level::warn, "pace_not_told",
                                              {{"key", m_key}, {"detail", response.error().detail}});
-                      m_lease = 0;
+                      m_lease = {};
                       m_published = 1;
                       common::log(
                           common::log_level::info, "pace_told",
--- a/source/rank_agent/slowdown_publisher.hpp
+++ b/source/rank_agent/slowdown_publisher.hpp
@@ -25,7 +25,7 @@
 
     kv::store& m_store;
     std::string m_key;
-    kv::lease_id m_lease = 0;
+    kv::lease m_lease;
     /// The published value; 1 if there is no key.
     double m_published = 1;
     common::timestamp m_requested_at;
--- a/source/unit_tests/fake_store.hpp
+++ b/source/unit_tests/fake_store.hpp
@@ -24,7 +24,7 @@
                                                   { return revision_of(g.key) == g.expected; });
         if (!all_guards_hold)
         {
-            kv::write_response out{false, m_revision, {}};
+            kv::write_response out{false, m_revision, {}, m_era};
             for (const auto& g : it.guards)
                 out.current.push_back(get(g.key));
             return out;
@@ -38,7 +38,7 @@
                 m_items.erase(w.key);
             m_history.push_back({w.key, w.value, m_revision});
         }
-        return {true, m_revision, {}};
+        return {true, m_revision, {}, m_era};
     }
 
     std::optional<kv::key_value> get(const std::string& key) const
@@ -49,7 +49,7 @@
 
     kv::range_response range(const std::string& prefix) const
     {
-        kv::range_response out{m_revision, {}};
+        kv::range_response out{m_revision, {}, m_era};
         for (const auto& [key, it] : m_items)
         {
             if (key.starts_with(prefix))
@@ -68,6 +68,23 @@
     }
 
     kv::revision revision() const { return m_revision; }
+    kv::position position() const { return {m_era, m_revision}; }
+
+    /// Goes back to the state at an earlier revision, in a new era.
+    void restore(kv::revision copied_at)
+    {
+        std::erase_if(m_history, [=](const auto& it) { return it.mod_revision > copied_at; });
+        m_items.clear();
+        for (const auto& it : m_history)
+        {
+            if (it.value)
+                m_items[it.key] = {it.key, *it.value, it.mod_revision};
+            else
+                m_items.erase(it.key);
+        }
+        m_revision = copied_at;
+        ++m_era;
+    }
 
 private:
     kv::revision revision_of(const std::string& key) const
@@ -77,6 +94,7 @@
     }
 
     kv::revision m_revision = 1;
+    kv::era m_era = 1;
     std::map<std::string, kv::key_value> m_items;
     std::vector<kv::change> m_history;
 };
--- a/source/unit_tests/fleet/target_notices_test.cpp
+++ b/source/unit_tests/fleet/target_notices_test.cpp
@@ -16,7 +16,7 @@
     it.id = id;
     it.service = "s";
     it.address = "10.0.0.1:80";
-    it.revision = revision;
+    it.written_at.at = revision;
     it.started_at = started_at;
     return it;
 }
@@ -31,11 +31,11 @@
 Test(target_notices, draining_notice_overrides_ready_entry)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     cr_assert(it.note_draining("a", 50, notice_source::answer, start));
     cr_assert(!it.note_draining("a", 50, notice_source::answer, start), "already known");
     cr_assert(!accepts_calls(it, "a", start));
-    it.put(one("a", 50, 9));
+    it.put(one("a", 50, 9), start);
     cr_assert(!accepts_calls(it, "a", start + 100 * second),
               "same start, although its entry is ready");
 }
@@ -43,20 +43,20 @@
 Test(target_notices, notice_outlives_expired_entry)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     it.note_draining("a", 50, notice_source::answer, start);
     it.remove("a", start, std::nullopt);
-    it.put(one("a", 50, 9));
+    it.put(one("a", 50, 9), start);
     cr_assert(!accepts_calls(it, "a", start + second));
 }
 
 Test(target_notices, restart_under_same_id_ends_notice)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     it.note_draining("a", 50, notice_source::answer, start);
     it.note_busy("a", 50, 60 * second, start);
-    it.put(one("a", 51, 9));
+    it.put(one("a", 51, 9), start);
     cr_assert(accepts_calls(it, "a", start));
     cr_assert(!it.note_draining("a", 50, notice_source::answer, start),
               "a notice of the earlier start");
@@ -66,18 +66,18 @@
 Test(target_notices, notice_does_not_apply_to_next_target_at_address)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     it.note_draining("a", 50, notice_source::answer, start);
-    it.put(one("b", 70, 9));
+    it.put(one("b", 70, 9), start);
     cr_assert(accepts_calls(it, "b", start));
 }
 
 Test(target_notices, notice_without_start_time_expires)
 {
     target_table it;
-    it.put(one("a", 0));
+    it.put(one("a", 0), start);
     it.note_draining("a", 0, notice_source::answer, start);
-    it.put(one("a", 0, 9));
+    it.put(one("a", 0, 9), start);
     cr_assert(!accepts_calls(it, "a", start + 59 * second));
     cr_assert(accepts_calls(it, "a", start + 61 * second));
 }
@@ -85,7 +85,7 @@
 Test(target_notices, busy_target_unused_for_requested_time)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     cr_assert(it.note_busy("a", 50, 3 * second, start));
     cr_assert(!accepts_calls(it, "a", start + milliseconds{2999}));
     cr_assert(accepts_calls(it, "a", start + 3 * second));
@@ -98,7 +98,7 @@
 Test(target_notices, requested_time_is_bounded)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     cr_assert(!it.note_busy("a", 50, milliseconds{0}, start));
     cr_assert(!it.note_busy("a", 50, milliseconds{-5}, start));
     cr_assert(accepts_calls(it, "a", start));
@@ -112,8 +112,8 @@
     target_table it;
     auto other = one("b", 50);
     other.address = "10.0.0.2:80";
-    it.put(one("a", 50));
-    it.put(other);
+    it.put(one("a", 50), start);
+    it.put(other, start);
     it.note_busy("a", 50, 5 * second, start);
     cr_assert(!it.all_busy_until("s", start));
     it.note_busy("b", 50, 3 * second, start);
@@ -126,13 +126,13 @@
 Test(target_notices, prune_removes_notice_without_entry)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     it.note_draining("a", 50, notice_source::answer, start);
     it.note_draining("gone", 50, notice_source::answer, start);
     constexpr milliseconds hour = 3600 * second;
     it.prune(start + hour);
     cr_assert(!accepts_calls(it, "a", start + hour), "its entry still exists");
-    it.put(one("gone", 50, 9));
+    it.put(one("gone", 50, 9), start);
     cr_assert(accepts_calls(it, "gone", start + hour));
 }
 
@@ -157,7 +157,7 @@
 Test(target_notices, newest_response_decides_on_a_rate_limit)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     cr_assert(!it.note_rate_limit("a", {50, std::nullopt, start}, notice_source::answer));
     cr_assert(it.note_rate_limit("a", {50, 2.5, start + second}, notice_source::answer));
     cr_assert_eq(it.limited().at("a"), 2.5);
@@ -170,9 +170,9 @@
 Test(target_notices, rate_limit_of_an_earlier_start_ends)
 {
     target_table it;
-    it.put(one("a", 50));
+    it.put(one("a", 50), start);
     it.note_rate_limit("a", {50, 2.5, start}, notice_source::answer);
-    it.put(one("a", 51, 9));
+    it.put(one("a", 51, 9), start);
     cr_assert(it.limited().empty());
     cr_assert(!it.note_rate_limit("a", {50, 2.5, start + second}, notice_source::peer));
 }
@@ -181,8 +181,8 @@
 Test(target_notices, only_limits_heard_here_are_broadcast)
 {
     target_table it;
-    it.put(one("a", 50));
-    it.put(one("b", 50));
+    it.put(one("a", 50), start);
+    it.put(one("b", 50), start);
     it.note_rate_limit("a", {50, 2.5, start}, notice_source::answer);
     it.note_rate_limit("b", {50, 1.5, start}, notice_source::peer);
     cr_assert_eq(it.limits_to_broadcast(start).size(), 1);
@@ -199,7 +199,7 @@
     for (int i = 0; i < targets; ++i)
     {
         const auto id = std::to_string(i);
-        it.put(one(id, 50));
+        it.put(one(id, 50), start);
         it.note_rate_limit(id, {50, 2.5, start + milliseconds{i}}, notice_source::answer);
     }
     const auto sent = it.limits_to_broadcast(start + milliseconds{targets});
--- a/source/unit_tests/membership/fuzz_gossip_node.cpp
+++ b/source/unit_tests/membership/fuzz_gossip_node.cpp
@@ -25,23 +25,42 @@
     watch_skips_changes,
     /// No process takes over from a failed watcher.
     no_takeover,
-    /// Processes accept the older state of a store that has lost its newest writes.
-    accepts_regression
+    /// Processes accept an older state of the store within its era.
+    accepts_regression,
+    /// A watch goes on after the store was restored from a copy.
+    watch_outlives_era
 };
 
-/// The processes of a data centre with a store that is at times unavailable, responds late or loses
-/// writes, over a network that loses, duplicates and reorders messages.
+/// The processes of a data centre with a store that is at times unavailable, responds late or is
+/// restored from a copy, over a network that loses, duplicates and reorders messages.
 class simulated_gossip
 {
 public:
-    static constexpr auto step_names = std::to_array<std::string_view>(
-        {"write", "erase", "tick", "tick", "deliver", "deliver", "deliver", "lose", "duplicate",
-         "read_finishes", "read_finishes", "read_finishes_late", "watch_reports", "watch_is_lost",
-         "restart", "store_down", "store_up", "read_finishes_from_old_store", "crash"});
+    static constexpr auto step_names =
+        std::to_array<std::string_view>({"write",
+                                         "erase",
+                                         "tick",
+                                         "tick",
+                                         "deliver",
+                                         "deliver",
+                                         "deliver",
+                                         "lose",
+                                         "duplicate",
+                                         "read_finishes",
+                                         "read_finishes",
+                                         "read_finishes_late",
+                                         "watch_reports",
+                                         "watch_is_lost",
+                                         "restart",
+                                         "store_down",
+                                         "store_up",
+                                         "read_finishes_from_old_store",
+                                         "store_is_restored",
+                                         "crash"});
 
     explicit simulated_gossip(mutation injected = mutation::none) : m_mutation{injected}
     {
-        m_states[m_store.revision()] = {};
+        m_states[m_store.position()] = {};
         for (std::size_t n = 0; n < process_count; ++n)
             m_processes.push_back(make_process(n));
         for (std::size_t n = 0; n < process_count; ++n)
@@ -93,6 +112,8 @@
             return;
         case 17:
             return finish_read_from_old_store(n, b);
+        case 18:
+            return restore_store(b);
         default:
             return crash_for_good(n);
         }
@@ -129,7 +150,8 @@
         bool is_watching = false;
         bool is_crashed = false;
         std::optional<kv::range_response> late_response = std::nullopt;
-        kv::revision highest = 0;
+        kv::position highest = {};
+        kv::era watched_era = 0;
     };
 
     static peer name_of(std::size_t n) { return {common::concat("host-", n), std::to_string(n)}; }
@@ -157,21 +179,21 @@
                                   });
     }
 
-    /// The invariants after every event: a replica's revision never decreases, and its items are
-    /// those that the store had at that revision.
+    /// The invariants after every event: a replica's position never decreases, and its items are
+    /// those that the store had at that position.
     void check_invariants(std::size_t n)
     {
         auto& it = m_processes[n];
-        RC_ASSERT(it.state.replica().as_of() >= it.highest);
-        it.highest = it.state.replica().as_of();
+        RC_ASSERT(it.state.replica().position() >= it.highest);
+        it.highest = it.state.replica().position();
         if (it.state.replica().is_ready())
             RC_ASSERT(has_items(it.state.replica(), m_states.at(it.highest)));
     }
 
     void write(const std::string& key, std::optional<std::string> value)
     {
-        m_store.write({{}, {{key, std::move(value), 0}}});
-        m_states[m_store.revision()] = m_store.range(std::string{config::replicated_prefix}).items;
+        m_store.write({{}, {{key, std::move(value)}}});
+        m_states[m_store.position()] = m_store.range(std::string{config::replicated_prefix}).items;
     }
 
     void carry_out(std::size_t n, const actions& list)
@@ -182,7 +204,11 @@
     }
     void perform(std::size_t, const send_message& it) { m_messages.push_back(it); }
     void perform(std::size_t n, const read_store&) { m_processes[n].is_reading = true; }
-    void perform(std::size_t n, const start_watch&) { m_processes[n].is_watching = true; }
+    void perform(std::size_t n, const start_watch&)
+    {
+        m_processes[n].is_watching = true;
+        m_processes[n].watched_era = m_processes[n].state.replica().era();
+    }
     void perform(std::size_t n, const stop_watch&) { m_processes[n].is_watching = false; }
 
     void tick(std::size_t n)
@@ -227,11 +253,19 @@
                 const auto highest = m_processes[n].highest;
                 m_processes[n] = make_process(n);
                 m_processes[n].highest = highest;
-                carry_out(n, m_processes[n].state.read_finished({old->first, old->second}, m_now));
+                carry_out(n, m_processes[n].state.read_finished(
+                                 {old->first.at, old->second, old->first.in_era}, m_now));
             }
             return;
         }
-        finish_read(n, {old->first, old->second});
+        finish_read(n, {old->first.at, old->second, old->first.in_era});
+    }
+
+    void restore_store(std::uint32_t b)
+    {
+        constexpr kv::revision max_lost = 6;
+        m_store.restore(std::max<kv::revision>(1, m_store.revision() - b % max_lost));
+        m_states[m_store.position()] = m_store.range(std::string{config::replicated_prefix}).items;
     }
 
     void report_changes(std::size_t n)
@@ -239,6 +273,9 @@
         auto& it = m_processes[n];
         if (!it.is_watching || !m_store_is_up)
             return;
+        if (it.watched_era != m_store.position().in_era &&
+            m_mutation != mutation::watch_outlives_era)
+            return lose_watch(n);
         const auto from = it.state.replica().as_of();
         std::vector<kv::change> changes;
         for (const auto& c : m_store.changes_after(from))
@@ -246,8 +283,9 @@
         if (m_mutation == mutation::watch_skips_changes && changes.size() > 1)
             changes.erase(changes.begin());
         if (!changes.empty())
-            carry_out(
-                n, it.state.store_changed({from, m_store.revision(), std::move(changes)}, m_now));
+            carry_out(n,
+                      it.state.store_changed(
+                          {from, m_store.revision(), std::move(changes), it.watched_era}, m_now));
     }
 
     void lose_watch(std::size_t n)
@@ -259,7 +297,7 @@
     void check_head(std::size_t n)
     {
         auto& it = m_processes[n];
-        if (it.is_watching && it.state.replica().as_of() < m_store.revision())
+        if (it.is_watching && it.state.replica().position() < m_store.position())
             return lose_watch(n);
         if (it.is_watching)
             it.state.store_responded(m_now);
@@ -303,7 +341,7 @@
     timestamp m_now{milliseconds{1'000'000}};
     std::vector<process> m_processes;
     std::deque<send_message> m_messages;
-    std::map<kv::revision, std::vector<kv::key_value>> m_states;
+    std::map<kv::position, std::vector<kv::key_value>> m_states;
 };
 
 } // namespace
@@ -327,3 +365,8 @@
 {
     cr_assert_not(fuzz::holds<simulated_gossip>(false, mutation::accepts_regression));
 }
+
+Test(fuzz_gossip_node, notices_watch_that_outlives_era)
+{
+    cr_assert_not(fuzz::holds<simulated_gossip>(false, mutation::watch_outlives_era));
+}
--- a/source/unit_tests/membership/gossip_node_test.cpp
+++ b/source/unit_tests/membership/gossip_node_test.cpp
@@ -112,7 +112,59 @@
                       {"p4", "10.0.1.4:1"}});
         it.begin(at(milliseconds{0}));
         it.handle(digest{"p0", "10.0.1.0:1", 0, 0, {{"p0", milliseconds{0}}}}, at(milliseconds{1}));
-        const auto out = it.handle(snapshot_message{10, {{"a", "1", 9}}}, at(milliseconds{2}));
+        const auto out = it.handle(snapshot_message{{10, {{"a", "1", 9}}}}, at(milliseconds{2}));
         cr_assert_eq(count_sent_messages(out), options.fanout + (report_propagation ? 1 : 0));
     }
 }
+
+/// After the store was restored, its lower revisions counted as a regression for good.
+Test(gossip_node, snapshot_of_restored_store_replaces_newer_revisions)
+{
+    gossip_node it{{"self", "10.0.0.1:1"}, {}, 1};
+    it.begin(at(milliseconds{0}));
+    it.read_finished({46, {{"a", "old", 46}, {"b", "kept", 3}}, 1}, at(milliseconds{1}));
+    it.store_failed(at(milliseconds{2}));
+    it.read_finished({30, {{"a", "new", 20}}, 2}, at(milliseconds{3}));
+    cr_assert_not(it.take_regression());
+    cr_assert_eq(it.replica().position(), (kv::position{2, 30}));
+    cr_assert_eq(it.replica().items().size(), 1U);
+    cr_assert_eq(it.replica().items().at("a").value, "new");
+    cr_assert(it.is_watching());
+    // An answer that was under way when the store was restored.
+    it.read_finished({50, {{"a", "late", 50}}, 1}, at(milliseconds{4}));
+    cr_assert_eq(it.replica().items().at("a").value, "new");
+    cr_assert(it.take_regression());
+}
+
+/// The revision that a watch had reached may exist again, for another change.
+Test(gossip_node, changes_of_former_era_are_ignored)
+{
+    gossip_node it{{"self", "10.0.0.1:1"}, {}, 1};
+    it.begin(at(milliseconds{0}));
+    it.read_finished({10, {{"a", "1", 9}}, 1}, at(milliseconds{1}));
+    const auto out = it.handle(snapshot_message{{8, {{"a", "2", 8}}, 2}}, at(milliseconds{2}));
+    const auto stops_watch = std::ranges::any_of(out, [](const auto& a)
+                                                 { return std::holds_alternative<stop_watch>(a); });
+    cr_assert(stops_watch);
+    it.store_changed({10, 11, {{"a", "3", 11}}, 1}, at(milliseconds{3}));
+    cr_assert_eq(it.replica().items().at("a").value, "2");
+    it.handle(delta_message{{8, 12, {{"a", "4", 12}}, 1}}, at(milliseconds{4}));
+    cr_assert_eq(it.replica().items().at("a").value, "2");
+}
+
+Test(gossip_node, peer_of_former_era_gets_snapshot)
+{
+    gossip_node it{{"self", "10.0.0.1:1"}, {}, 1};
+    it.set_peers({{"p0", "10.0.1.0:1"}});
+    it.begin(at(milliseconds{0}));
+    it.read_finished({10, {{"a", "1", 9}}, 2}, at(milliseconds{1}));
+    const auto out = it.handle(digest{"p0", "10.0.1.0:1", 500, 499, {}, 1}, at(milliseconds{1000}));
+    const auto sends_snapshot = std::ranges::any_of(
+        out,
+        [](const auto& a)
+        {
+            const auto* sent = std::get_if<send_message>(&a);
+            return sent != nullptr && std::holds_alternative<snapshot_message>(sent->payload);
+        });
+    cr_assert(sends_snapshot);
+}
--- /dev/null
+++ b/source/unit_tests/membership/message_test.cpp
@@ -0,0 +1,61 @@
+#include "membership/message.hpp"
+
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace kumquatgap;
+using namespace kumquatgap::membership;
+using nlohmann::json;
+
+namespace
+{
+
+/// A message as the build before eras sent it.
+std::string without_era(const message& m)
+{
+    auto body = json::from_cbor(to_bytes(m, "t"));
+    body.erase("era");
+    std::string out;
+    json::to_cbor(body, out);
+    return out;
+}
+
+std::string from_hex(std::string_view hex)
+{
+    std::string out;
+    for (std::size_t i = 0; i + 1 < hex.size(); i += 2)
+        out.push_back(static_cast<char>(std::stoi(std::string{hex.substr(i, 2)}, nullptr, 16)));
+    return out;
+}
+
+/// A delta from 10 to 11 that sets "k" to "v", as build 1f93228 encodes it with the token "t".
+constexpr std::string_view old_delta =
+    "a5676368616e6765738183616b61760b6466726f6d0a62746f0b65746f6b656e617464747970656564656c7461";
+
+} // namespace
+
+Test(membership_message, era_survives_encoding)
+{
+    const digest d{"a", "10.0.0.1:1", 9, 8, {}, 3};
+    cr_assert_eq(std::get<digest>(from_bytes(to_bytes(d, "t"), "t").value()).in_era, 3);
+    const snapshot_message s{{9, {{"k", "v", 4}}, 3}};
+    cr_assert_eq(
+        std::get<snapshot_message>(from_bytes(to_bytes(s, "t"), "t").value()).state.position(),
+        (kv::position{3, 9}));
+    const delta_message c{{4, 9, {{"k", "v", 9}}, 3}};
+    cr_assert_eq(std::get<delta_message>(from_bytes(to_bytes(c, "t"), "t").value()).changes.in_era,
+                 3);
+}
+
+Test(membership_message, message_of_build_without_eras_is_of_default_era)
+{
+    const auto bytes = without_era(digest{"a", "10.0.0.1:1", 9, 8, {}, 3});
+    cr_assert_eq(std::get<digest>(from_bytes(bytes, "t", 1).value()).in_era, 1);
+    const auto m = from_bytes(from_hex(old_delta), "t", 2);
+    cr_assert(m.has_value());
+    const auto& changes = std::get<delta_message>(*m).changes;
+    cr_assert_eq(changes.in_era, 2);
+    cr_assert_eq(changes.to, 11);
+    cr_assert_eq(changes.changes.at(0).value.value(), "v");
+}
--- a/tests/stand_ins/platform_store.cpp
+++ b/tests/stand_ins/platform_store.cpp
@@ -23,11 +23,6 @@
     return common::parse_number(std::string_view{text}, n) ? n : 0;
 }
 
-void reply(io::responder& answer, int status, const json& body = json::object())
-{
-    answer.reply({status, {{"Content-Type", "application/json"}}, body.dump()});
-}
-
 } // namespace
 
 platform_store::platform_store(io::event_loop& loop, const std::string& address)
@@ -44,8 +39,8 @@
 
 void platform_store::keep_lease(std::int64_t id, io::responder& answer)
 {
-    const auto it = m_leases.find(id);
-    if (it == m_leases.end())
+    const auto it = m_state.leases.find(id);
+    if (it == m_state.leases.end())
         return reply(answer, 404);
     it->second.ends_at = common::now() + it->second.time_to_live;
     reply(answer, 200, {{"ttlMs", it->second.time_to_live.count()}});
@@ -56,10 +51,10 @@
 {
     std::vector<std::string> ended;
     const auto now = common::now();
-    std::erase_if(m_leases, [&](const auto& it) { return it.second.ends_at <= now; });
-    for (const auto& [key, it] : m_items)
+    std::erase_if(m_state.leases, [&](const auto& it) { return it.second.ends_at <= now; });
+    for (const auto& [key, it] : m_state.items)
     {
-        if (it.lease != 0 && !m_leases.contains(it.lease))
+        if (it.lease != 0 && !m_state.leases.contains(it.lease))
             ended.push_back(key);
     }
     for (const auto& key : ended)
@@ -73,24 +68,24 @@
 
 void platform_store::write(const std::string& key, const std::string& value, std::int64_t lease)
 {
-    ++m_revision;
-    auto& it = m_items[key];
-    const auto created = it.created == 0 ? m_revision : it.created;
-    it = {value, m_revision, created, lease};
+    ++m_state.revision;
+    auto& it = m_state.items[key];
+    const auto created = it.created == 0 ? m_state.revision : it.created;
+    it = {value, m_state.revision, created, lease};
     note({key, it, false});
 }
 
 void platform_store::remove(const std::string& key)
 {
-    if (m_items.erase(key) == 0)
+    if (m_state.items.erase(key) == 0)
         return;
-    ++m_revision;
-    note({key, {{}, m_revision, 0, 0}, true});
+    ++m_state.revision;
+    note({key, {{}, m_state.revision, 0, 0}, true});
 }
 
 void platform_store::note(event e)
 {
-    m_history.push_back(std::move(e));
+    m_state.history.push_back(std::move(e));
     std::erase_if(m_watches, [this](const auto& it) { return answer_watch(it, false); });
 }
 
@@ -104,10 +99,26 @@
     m_watches.clear();
 }
 
+void platform_store::reply(io::responder& answer, int status, const json& body) const
+{
+    answer.reply({status,
+                  {{"Content-Type", "application/json"}, {"Store-Era", common::concat(m_era)}},
+                  body.dump()});
+}
+
+void platform_store::restore()
+{
+    m_state = m_copy;
+    ++m_era;
+    for (auto& it : m_watches)
+        reply(*it.answer, 410);
+    m_watches.clear();
+}
+
 void platform_store::compact()
 {
-    m_history.clear();
-    m_oldest = m_revision;
+    m_state.history.clear();
+    m_oldest = m_state.revision;
     for (auto& it : m_watches)
         reply(*it.answer, 410);
     m_watches.clear();
@@ -132,7 +143,7 @@
     {
         const auto key = io::query_parameter(request.query, "key");
         const bool takes_old = io::query_parameter(request.query, "serializable") == "1";
-        const auto& items = takes_old && m_old_items ? *m_old_items : m_items;
+        const auto& items = takes_old && m_old_items ? *m_old_items : m_state.items;
         const auto it = items.find(key);
         return it == items.end() ? reply(*answer, 404)
                                  : reply(*answer, 200, to_json(key, it->second));
@@ -141,12 +152,13 @@
     {
         const auto prefix = io::query_parameter(request.query, "prefix");
         json items = json::array();
-        for (const auto& [key, it] : m_items)
+        for (const auto& [key, it] : m_state.items)
         {
             if (key.starts_with(prefix))
                 items.push_back(to_json(key, it));
         }
-        return reply(*answer, 200, {{"items", items}, {"hasMore", false}, {"asOf", m_revision}});
+        return reply(*answer, 200,
+                     {{"items", items}, {"hasMore", false}, {"asOf", m_state.revision}});
     }
     if (request.path == "/-/kv-watch")
         return watch(request, answer);
@@ -155,8 +167,8 @@
     if (request.path == "/-/kv-lease")
     {
         const common::milliseconds ttl{json::parse(request.body).at("ttlMs")};
-        m_leases[++m_last_lease] = {ttl, common::now() + ttl};
-        return reply(*answer, 200, {{"lease", m_last_lease}, {"ttlMs", ttl.count()}});
+        m_state.leases[++m_state.last_lease] = {ttl, common::now() + ttl};
+        return reply(*answer, 200, {{"lease", m_state.last_lease}, {"ttlMs", ttl.count()}});
     }
     constexpr std::string_view keep = "/-/kv-keep/";
     if (request.path.starts_with(keep))
@@ -172,7 +184,7 @@
 {
     waiting_watch it{io::query_parameter(request.query, "prefix"),
                      number_in(request.query, "after"), answer, nullptr};
-    if (it.after < m_oldest)
+    if (it.after < m_oldest || it.after > m_state.revision)
         return reply(*answer, 410);
     if (answer_watch(it, false))
         return;
@@ -191,7 +203,7 @@
 bool platform_store::answer_watch(const waiting_watch& it, bool is_last_chance) const
 {
     json events = json::array();
-    for (const auto& e : m_history)
+    for (const auto& e : m_state.history)
     {
         if (e.now.revision <= it.after || !e.key.starts_with(it.prefix))
             continue;
@@ -204,7 +216,7 @@
     }
     if (events.empty() && !is_last_chance)
         return false;
-    reply(*it.answer, 200, {{"events", events}, {"asOf", m_revision}});
+    reply(*it.answer, 200, {{"events", events}, {"asOf", m_state.revision}});
     return true;
 }
 
@@ -213,8 +225,8 @@
     const auto body = json::parse(request.body);
     for (const auto& it : body.at("expected"))
     {
-        const auto found = m_items.find(it.at("key").get<std::string>());
-        const std::int64_t now = found == m_items.end() ? 0 : found->second.revision;
+        const auto found = m_state.items.find(it.at("key").get<std::string>());
+        const std::int64_t now = found == m_state.items.end() ? 0 : found->second.revision;
         if (now != it.at("revision"))
             return reply(answer, 412, {{"items", json::array()}});
     }
@@ -226,7 +238,7 @@
     }
     for (const auto& key : body.at("remove"))
         remove(key);
-    reply(answer, 200, {{"revision", m_revision}});
+    reply(answer, 200, {{"revision", m_state.revision}});
 }
 
 } // namespace kumquatgap::stand_ins
--- a/tests/stand_ins/platform_store.hpp
+++ b/tests/stand_ins/platform_store.hpp
@@ -3,6 +3,8 @@
 #include "io/event_loop.hpp"
 #include "io/http_server.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <cstdint>
 #include <deque>
 #include <list>
@@ -34,19 +36,25 @@
     const std::string& address() const { return m_address; }
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
-    bool contains(const std::string& key) const { return m_items.contains(key); }
+    bool contains(const std::string& key) const { return m_state.items.contains(key); }
     /// The value of a key; empty when there is none.
     std::string value(const std::string& key) const
     {
-        const auto it = m_items.find(key);
-        return it == m_items.end() ? "" : it->second.value;
+        const auto it = m_state.items.find(key);
+        return it == m_state.items.end() ? "" : it->second.value;
     }
     void set_mood(store_mood mood);
     /// From now on, calls that take an old answer get what the keys are now, for good.
-    void freeze_old_reads() { m_old_items = m_items; }
+    void freeze_old_reads() { m_old_items = m_state.items; }
     /// Drops the history, so that watches have to list anew.
     void compact();
-    std::int64_t revision() const { return m_revision; }
+    /// Keeps a copy of all keys and leases, which restore() goes back to.
+    void take_copy() { m_copy = m_state; }
+    /// Loses what was written since the copy was taken, and gives out its revisions and lease ids
+    /// again, in a new era. Watches that wait are cut.
+    void restore();
+    std::int64_t era() const { return m_era; }
+    std::int64_t revision() const { return m_state.revision; }
     std::uint64_t calls() const { return m_calls; }
 
 private:
@@ -68,6 +76,15 @@
         common::milliseconds time_to_live{0};
         common::timestamp ends_at;
     };
+    /// What a copy of the store has.
+    struct state
+    {
+        std::map<std::string, item> items;
+        std::deque<event> history;
+        std::int64_t revision = 1;
+        std::map<std::int64_t, lease> leases;
+        std::int64_t last_lease = 0;
+    };
     struct waiting_watch
     {
         std::string prefix;
@@ -76,6 +93,8 @@
         io::timer_handle timer;
     };
 
+    void reply(io::responder& answer, int status,
+               const nlohmann::json& body = nlohmann::json::object()) const;
     void handle(const io::http_request& request, const io::responder_ptr& answer);
     void watch(const io::http_request& request, const io::responder_ptr& answer);
     void keep_lease(std::int64_t id, io::responder& answer);
@@ -88,15 +107,13 @@
     io::event_loop& m_loop;
     std::string m_address;
     io::http_server m_server;
-    std::map<std::string, item> m_items;
+    state m_state;
+    state m_copy;
+    std::int64_t m_era = 1;
     /// What old reads get; they are up to date while there is none.
     std::optional<std::map<std::string, item>> m_old_items;
-    std::deque<event> m_history;
     std::list<waiting_watch> m_watches;
-    std::int64_t m_revision = 1;
     std::int64_t m_oldest = 0;
-    std::map<std::int64_t, lease> m_leases;
-    std::int64_t m_last_lease = 0;
     io::timer_handle m_lease_timer;
     std::uint64_t m_calls = 0;
     store_mood m_mood = store_mood::serves;
