Keep fencing tokens rising and the controller leading across a restore of the store

The lease of a group's controller is lost with the writes that a restored store lacks, while its holder still leads, and the revision that the next fencing token was made of goes back: another agent could lead beside it, and ranks refuse orders with a token below one that they have seen.

A token is made of era and revision: each era adds more than a restore can lose, and the first adds nothing, as in builds that know no eras. The holder campaigns again at once and goes on; other agents wait until any lease of the former era has expired, counted from their first answer of the era, since a process that has just started can't know.

--- a/source/core/experts/switch_message.hpp
+++ b/source/core/experts/switch_message.hpp
@@ -2,6 +2,7 @@
 
 #include "common/clock.hpp"
 #include "experts/expert_map.hpp"
+#include "kv/position.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -15,7 +16,7 @@
 using common::milliseconds;
 using common::timestamp;
 
-/// The fencing token of a group's controller: the store revision of its lease key.
+/// The fencing token of a group's controller; see make_fencing_token().
 using fencing_token = std::int64_t;
 /// The fencing token of one order; see make_order_fence().
 using order_fence = std::int64_t;
@@ -139,6 +140,18 @@
     std::shared_ptr<const expert_map> map;
 };
 
+/// The most changes that a store can lose when it is restored from a copy.
+inline constexpr fencing_token max_lost_changes = 100'000;
+
+/// The fencing token of the controller whose lease key was written at this position. Within an era
+/// tokens grow with the revision. A restored store goes back by fewer revisions than each era adds.
+/// The first era adds nothing, so builds that know no eras make the same tokens in it.
+constexpr fencing_token make_fencing_token(const kv::position& written_at)
+{
+    const auto restores = written_at.in_era > 1 ? written_at.in_era - 1 : 0;
+    return restores * max_lost_changes + written_at.at;
+}
+
 /// The maximum number of directives per lease, and of orders per directive, with distinct fences.
 inline constexpr std::int64_t directives_per_lease = 1'000'000;
 inline constexpr std::int64_t orders_per_directive = 1000;
--- a/source/rank_agent/leadership.cpp
+++ b/source/rank_agent/leadership.cpp
@@ -87,13 +87,27 @@
     const bool is_leader_silent = m_view.is_leader_silent(common::now(), m_jitter);
     if (!is_leader_silent)
         m_needs_fresh_read = false;
-    if (m_is_request_pending || (m_token == 0 && !is_leader_silent))
+    if (m_is_request_pending)
         return;
-    m_is_request_pending = true;
+    if (m_token == 0 && (!is_leader_silent || may_former_leader_be_active(common::now())))
+        return;
+    if (m_token != 0 && !has_lost_lease_to_restore())
+        return renew();
     if (m_token != 0)
-        renew();
-    else
-        read_leader();
+        m_needs_fresh_read = true;
+    read_leader();
+}
+
+bool leadership::has_lost_lease_to_restore() const
+{
+    return m_lease.granted_in != m_store.current_era();
+}
+
+/// True while a leader of the era before may still hold a lease that the store no longer knows. A
+/// process that has just started can't tell whether there was such an era.
+bool leadership::may_former_leader_be_active(timestamp now) const
+{
+    return now < m_store.era_since() + lease_ttl;
 }
 
 /// Reads who leads. A stale result does little harm once: a failed campaign, or a short time with
@@ -116,52 +130,62 @@
 
 void leadership::on_leader_read(const std::optional<kv::key_value>& it)
 {
+    if (m_token == 0 && may_former_leader_be_active(common::now()))
+        return;
     if (!it)
         return campaign(0);
     // The key was written by an earlier run of this process, or by this run if the response was
     // lost. That leadership has ended, so there is no need to wait until its lease expires.
     if (it->value == m_address)
         return campaign(it->mod_revision);
-    m_view.set_stored_leader(it->value);
+    if (m_token == 0)
+        m_view.set_stored_leader(it->value);
 }
 
 void leadership::campaign(kv::revision expected)
 {
     m_is_request_pending = true;
-    m_view.clear_leader();
+    if (m_token == 0)
+        m_view.clear_leader();
     const auto requested_at = common::now();
+    kv::transaction it{
+        .guards = {{m_key, expected}}, .writes = {}, .read_in = m_store.current_era()};
     m_store.grant_lease(lease_ttl,
-                        [this, requested_at, expected](const auto& response)
+                        [this, requested_at, it = std::move(it)](const auto& response)
                         {
                             m_is_request_pending = false;
                             if (response)
-                                write_key(response.value(), requested_at, expected);
+                                write_key(response.value(), requested_at, it);
                         });
 }
 
-void leadership::write_key(kv::lease lease, timestamp requested_at, kv::revision expected)
+void leadership::write_key(kv::lease lease, timestamp requested_at, kv::transaction it)
 {
     m_is_request_pending = true;
-    m_boot_offset_ms = boot_offset_ms();
-    m_store.write(
-        {{{{m_key, expected}}, {{m_key, m_address, lease}}}},
-        [this, lease, requested_at](const auto& response)
-        {
-            m_is_request_pending = false;
-            if (!response)
-                return;
-            if (!response.value().front().applied)
-                return read_leader();
-            m_lease = lease;
-            m_token = response.value().front().as_of;
-            m_valid_until = requested_at + lease_ttl - lease_margin;
-            m_view.set_stored_leader(m_address);
-            common::log(common::log_level::info, "lease_won", {{"key", m_key}, {"token", m_token}});
-        });
+    const auto boot_offset = boot_offset_ms();
+    it.writes = {{m_key, m_address, lease}};
+    m_store.write({std::move(it)},
+                  [this, lease, requested_at, boot_offset](const auto& response)
+                  {
+                      m_is_request_pending = false;
+                      if (!response)
+                          return;
+                      if (!response.value().front().applied)
+                          return read_leader();
+                      m_lease = lease;
+                      m_boot_offset_ms = boot_offset;
+                      const auto& written = response.value().front();
+                      m_token = experts::make_fencing_token({written.in_era, written.as_of});
+                      m_valid_until = requested_at + lease_ttl - lease_margin;
+                      m_view.set_stored_leader(m_address);
+                      common::log(common::log_level::info, "lease_won",
+                                  {{"key", m_key}, {"token", m_token}, {"era", written.in_era}});
+                  });
 }
 
 void leadership::renew()
 {
+    m_is_request_pending = true;
     const auto requested_at = common::now();
     m_store.renew_lease(m_lease,
                         [this, requested_at](const auto& response)
@@ -169,6 +193,8 @@
                             m_is_request_pending = false;
                             if (response)
                                 m_valid_until = requested_at + lease_ttl - lease_margin;
+                            else if (has_lost_lease_to_restore())
+                                read_leader();
                             else if (response.error().code == common::result_code::not_found)
                                 step_down("the lease has ended");
                         });
--- a/source/rank_agent/leadership.hpp
+++ b/source/rank_agent/leadership.hpp
@@ -10,10 +10,13 @@
 namespace kumquatgap::rank_agent
 {
 
-/// Leader election of a group, through a key in the store with a lease. The key's revision is the
-/// fencing token. The leader renews the lease and stops leading before the lease can have expired,
-/// by the steady clock or because the machine was suspended. While another process leads, the store
-/// is queried only after that process's beacons have stopped.
+/// Leader election of a group, through a key in the store with a lease. The fencing token is made
+/// of the key's position. The leader renews the lease and stops leading before the lease can have
+/// expired, by the steady clock or because the machine was suspended. While another process leads,
+/// the store is queried only after that process's beacons have stopped.
+///
+/// A store that is restored from a copy loses the lease while its holder still leads. The holder
+/// campaigns again at once; the others wait until any lease of the former era has expired.
 class leadership
 {
 public:
@@ -37,7 +40,9 @@
     void on_leader_read(const std::optional<kv::key_value>& it);
     /// Takes over leadership if the key still has this revision, or does not exist if it is 0.
     void campaign(kv::revision expected);
-    void write_key(kv::lease lease, common::timestamp requested_at, kv::revision expected);
+    void write_key(kv::lease lease, common::timestamp requested_at, kv::transaction it);
+    bool has_lost_lease_to_restore() const;
+    bool may_former_leader_be_active(common::timestamp now) const;
     void renew();
     void step_down(std::string_view reason);
 
--- a/tests/platform/rank_agents_test.cpp
+++ b/tests/platform/rank_agents_test.cpp
@@ -249,6 +249,24 @@
     deployment.check_consistent();
 }
 
+/// The leader's lease is lost, and the revisions that fencing tokens are made of go back.
+Test(rank_agents, switch_after_store_restored)
+{
+    agents_deployment deployment;
+    deployment.store.take_copy();
+    constexpr int lost_changes = 50;
+    for (int i = 0; i < lost_changes; ++i)
+        deployment.store.put("other", std::to_string(i));
+    cr_assert(deployment.switches_to_new_map());
+    const auto leader = deployment.leader();
+    deployment.store.restore();
+    cr_assert(deployment.switches_to_new_map());
+    cr_assert(deployment.switches_to_new_map());
+    deployment.check_consistent();
+    // The leader of before goes on, so that no switch waits for an election.
+    cr_assert_eq(deployment.leader(), leader);
+}
+
 /// All agents are killed at once. The leader key of an earlier run expires late or, in a store that
 /// keeps leases, not at all.
 Test(rank_agents, take_over_key_of_earlier_run)
