Give the clusters of etcd eras, so that routers, agents and the API follow a restore

The first process that meets it records a higher era under kqg/store_era, guarded by the record's revision; answers wait until the era is known, and watches of another cluster end.

The stand-in of the store gets the drill (/stand_in/copy, /stand_in/restore).

--- a/source/core/kv/etcd_store.cpp
+++ b/source/core/kv/etcd_store.cpp
@@ -1,6 +1,7 @@
 #include "kv/etcd_store.hpp"
 
 #include "common/text.hpp"
+#include "kv/etcd_era.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -60,6 +61,13 @@
             read_integer(kv, "mod_revision")};
 }
 
+/// The id of the cluster that sent a response; empty when it names none.
+std::string cluster_of(const json& body)
+{
+    const auto& holder = body.contains("result") ? body["result"] : body;
+    return holder.value("header", json::object()).value("cluster_id", "");
+}
+
 range_response parse_range(const json& body)
 {
     range_response out;
@@ -146,6 +154,13 @@
 
 } // namespace
 
+/// A response whose cluster is not known yet.
+struct etcd_store::waiting_response
+{
+    json body;
+    json_callback done;
+};
+
 etcd_store::etcd_store(io::event_loop& loop, io::http_client& client, etcd_options options)
     : m_loop{loop}, m_client{client}, m_options{std::move(options)}
 {
@@ -154,6 +169,90 @@
 etcd_store::~etcd_store() = default;
 
 void etcd_store::call(call_kind kind, std::string path, const json& body, json_callback done)
+{
+    send(kind, std::move(path), body,
+         [this, done = std::move(done)](common::result<json> response)
+         {
+             if (!response)
+                 return done(response.error());
+             deliver(std::move(response.value()), done);
+         });
+}
+
+void etcd_store::deliver(json body, const json_callback& done)
+{
+    if (cluster_of(body) == m_cluster)
+    {
+        note_era(current_era());
+        return done(std::move(body));
+    }
+    m_waiting.push_back({std::move(body), done});
+    if (m_waiting.size() == 1)
+        read_era_record();
+}
+
+void etcd_store::read_era_record()
+{
+    send(call_kind::read, "/v3/kv/range", {{"key", encode(etcd_era_key)}},
+         [this](common::result<json> response)
+         {
+             if (!response)
+                 return fail_waiting(response.error());
+             const auto found = parse_or_fail([&] { return parse_range(response.value()); });
+             if (!found)
+                 return fail_waiting(found.error());
+             const auto& items = found.value().items;
+             write_era_record(cluster_of(response.value()),
+                              items.empty() ? std::nullopt : std::optional{items.front()});
+         });
+}
+
+void etcd_store::write_era_record(const std::string& cluster,
+                                  const std::optional<key_value>& stored)
+{
+    const auto record = stored ? parse_era_record(stored->value) : std::nullopt;
+    const auto required =
+        required_record(record, cluster, cluster == m_cluster ? 0 : current_era());
+    if (record == required)
+        return adopt_cluster(cluster, required.number);
+    const transaction it{{{std::string{etcd_era_key}, stored ? stored->mod_revision : 0}},
+                         {{std::string{etcd_era_key}, serialize(required)}}};
+    send(call_kind::write, "/v3/kv/txn", to_request(it).at("request_txn"),
+         [this, cluster, required](common::result<json> response)
+         {
+             if (!response)
+                 return fail_waiting(response.error());
+             // Another process has recorded the era, or the cluster has changed again.
+             const bool is_written = response.value().value("succeeded", false) &&
+                                     cluster_of(response.value()) == cluster;
+             if (!is_written)
+                 return read_era_record();
+             adopt_cluster(cluster, required.number);
+         });
+}
+
+void etcd_store::adopt_cluster(const std::string& cluster, era number)
+{
+    m_cluster = cluster;
+    note_era(number);
+    for (auto& it : std::exchange(m_waiting, {}))
+    {
+        if (cluster_of(it.body) == cluster)
+            it.done(std::move(it.body));
+        else
+            it.done(failure{result_code::write_outcome_unknown,
+                            "the store was restored after this answer"});
+    }
+}
+
+void etcd_store::fail_waiting(const failure& why)
+{
+    // The answers have arrived but can't be placed, so what they say of writes is not known either.
+    for (auto& it : std::exchange(m_waiting, {}))
+        it.done(failure{result_code::write_outcome_unknown, why.detail});
+}
+
+void etcd_store::send(call_kind kind, std::string path, const json& body, json_callback done)
 {
     count_call(kind);
     const auto id = m_next_call++;
@@ -190,11 +289,14 @@
 {
     const json body = {{"key", encode(prefix)}, {"range_end", encode(prefix_end(prefix))}};
     call(call_kind::range, "/v3/kv/range", body,
-         [done = std::move(done)](common::result<json> response)
+         [this, done = std::move(done)](common::result<json> response)
          {
              if (!response)
                  return done(response.error());
-             done(parse_or_fail([&] { return parse_range(response.value()); }));
+             auto out = parse_or_fail([&] { return parse_range(response.value()); });
+             if (out)
+                 out.value().in_era = current_era();
+             done(std::move(out));
          });
 }
 
@@ -218,14 +320,23 @@
 
 void etcd_store::write(std::vector<transaction> batch, callback<std::vector<write_response>> done)
 {
+    const auto of_former_era = [this](const transaction& it)
+    { return reason_not_to_send(it).has_value(); };
+    if (const auto it = std::ranges::find_if(batch, of_former_era); it != batch.end())
+        return done(*reason_not_to_send(*it));
     json transactions = json::array();
     for (const auto& it : batch)
         transactions.push_back(to_request(it));
     call(call_kind::write, "/v3/kv/txn", {{"success", std::move(transactions)}},
-         [n = batch.size(), done = std::move(done)](common::result<json> response)
+         [this, n = batch.size(), sent_in = current_era(),
+          done = std::move(done)](common::result<json> response)
          {
              if (!response)
                  return done(response.error());
+             // The guards may have met other changes of the same revisions.
+             if (sent_in != current_era() && sent_in != 0)
+                 return done(failure{result_code::write_outcome_unknown,
+                                     "the store was restored meanwhile"});
              done(parse_or_fail(
                  [&]
                  {
@@ -233,8 +344,11 @@
                      const auto as_of = read_integer(body.at("header"), "revision");
                      std::vector<write_response> out;
                      for (std::size_t i = 0; i < n; ++i)
+                     {
                          out.push_back(
                              parse_write(body.at("responses").at(i).at("response_txn"), as_of));
+                         out.back().in_era = current_era();
+                     }
                      return out;
                  }));
          });
@@ -244,18 +358,23 @@
 {
     call(call_kind::grant_lease, "/v3/lease/grant",
          {{"TTL", std::to_string(time_to_live.count() / ms_per_s)}},
-         [done = std::move(done)](common::result<json> response)
+         [this, done = std::move(done)](common::result<json> response)
          {
              if (!response)
                  return done(response.error());
-             done(parse_or_fail([&] { return lease{read_integer(response.value(), "ID")}; }));
+             done(parse_or_fail(
+                 [&] {
+                     return lease{read_integer(response.value(), "ID"), current_era()};
+                 }));
          });
 }
 
 void etcd_store::renew_lease(lease it, callback<common::milliseconds> done)
 {
+    if (it.granted_in != current_era())
+        return done(failure{result_code::not_found, "the lease ended as the store was restored"});
     call(call_kind::renew_lease, "/v3/lease/keepalive", {{"ID", std::to_string(it.id)}},
-         [done = std::move(done)](common::result<json> response)
+         [this, it, done = std::move(done)](common::result<json> response)
          {
              if (!response)
                  return done(response.error());
@@ -263,7 +382,7 @@
                  parse_or_fail([&] { return read_integer(response.value().at("result"), "TTL"); });
              if (!seconds_left)
                  return done(seconds_left.error());
-             if (seconds_left.value() <= 0)
+             if (seconds_left.value() <= 0 || it.granted_in != current_era())
                  return done(failure{result_code::not_found, "the lease has ended"});
              done(common::milliseconds{seconds_left.value() * ms_per_s});
          });
@@ -274,7 +393,7 @@
 {
 public:
     etcd_watch(etcd_store& owner, const std::string& prefix, revision from, watch_events events)
-        : m_events{std::move(events)}
+        : m_events{std::move(events)}, m_cluster{owner.m_cluster}, m_from{from}
     {
         const json body = {{"create_request",
                             {{"key", encode(prefix)},
@@ -318,6 +437,8 @@
         if (body.is_discarded() || !body.contains("result"))
             return end({result_code::store_unavailable, "a malformed watch report"});
         const auto& report = body["result"];
+        if (cluster_of(body) != m_cluster)
+            return end({result_code::compacted, "the store was restored"});
         if (report.value("canceled", false))
         {
             const bool compacted = report.contains("compact_revision");
@@ -331,7 +452,12 @@
         // The revision in the header of the message that confirms the watch, or of one with
         // changes, may be higher than that of changes still to come.
         if (report.value("created", false))
+        {
+            // etcd would wait until a restored store has reached the revision again.
+            if (m_from > read_integer(report.value("header", json::object()), "revision") + 1)
+                end({result_code::compacted, "the store does not have this revision"});
             return;
+        }
         const auto as_of = changes.value().empty()
                                ? read_integer(report.value("header", json::object()), "revision")
                                : changes.value().back().mod_revision;
@@ -347,6 +473,8 @@
     }
 
     watch_events m_events;
+    std::string m_cluster;
+    revision m_from;
     std::string m_buffer;
     io::call_handle m_call;
 };
@@ -355,6 +483,7 @@
                                                watch_events events)
 {
     count_call(call_kind::watch);
+    // A watch from before a restore ends with its first message, whose cluster is another one.
     return std::make_unique<etcd_watch>(*this, prefix, from.at, std::move(events));
 }
 
--- a/source/core/kv/etcd_store.hpp
+++ b/source/core/kv/etcd_store.hpp
@@ -19,7 +19,8 @@
     common::milliseconds timeout{2000};
 };
 
-/// Client of the platform's store through the JSON gateway of etcd v3.
+/// Client of the platform's store through the JSON gateway of etcd v3. The first response of a
+/// cluster waits until the cluster's era has been read or recorded.
 class etcd_store : public store
 {
 public:
@@ -37,13 +38,24 @@
 private:
     class etcd_watch;
     using json_callback = std::function<void(common::result<nlohmann::json>)>;
+    struct waiting_response;
+
     void call(call_kind kind, std::string path, const nlohmann::json& body, json_callback done);
+    void send(call_kind kind, std::string path, const nlohmann::json& body, json_callback done);
+    void deliver(nlohmann::json body, const json_callback& done);
+    void read_era_record();
+    void write_era_record(const std::string& cluster, const std::optional<key_value>& stored);
+    void adopt_cluster(const std::string& cluster, era number);
+    void fail_waiting(const common::failure& why);
 
     io::event_loop& m_loop;
     io::http_client& m_client;
     etcd_options m_options;
     std::map<std::uint64_t, io::call_handle> m_calls;
     std::uint64_t m_next_call = 0;
+    /// The cluster of the current era; empty before the first response.
+    std::string m_cluster;
+    std::vector<waiting_response> m_waiting;
 };
 
 } // namespace kumquatgap::kv
--- a/tests/failures/configuration_test.cpp
+++ b/tests/failures/configuration_test.cpp
@@ -165,6 +165,25 @@
     cr_assert(serves(d, "router-0"));
 }
 
+/// Its revisions are lower than those that the daemons have, for a while.
+Test(configuration, a_store_restored_from_a_copy_is_followed)
+{
+    deployment d{spreading_plan()};
+    d.call(d.address("store"), {"POST", "/stand_in/copy"});
+    for (const auto* name : {"s", "t", "u"})
+        cr_assert_eq(d.put("share", name, share(10)).status, 200);
+    cr_assert(d.wait_for_config());
+    const auto before = d.last_version();
+    d.call(d.address("store"), {"POST", "/stand_in/restore"});
+    cr_assert(d.wait_until([&] { return d.put("share", "v", share(20)).status == 200; }));
+    cr_assert_lt(d.last_version(), before);
+    for (const auto& it : d.daemons())
+        cr_assert(
+            d.wait_until([&] { return d.metric(it, "kqg_config_revision") == d.last_version(); }),
+            "%s", it.c_str());
+    cr_assert(serves(d, "router-0"));
+}
+
 Test(configuration, operators_see_what_is_in_force)
 {
     deployment d{spreading_plan()};
--- a/tests/stand_ins/key_value_table.cpp
+++ b/tests/stand_ins/key_value_table.cpp
@@ -46,7 +46,9 @@
 
 json key_value_table::header() const
 {
-    return {{"cluster_id", "1"}, {"member_id", "1"}, {"revision", std::to_string(m_revision)}};
+    return {{"cluster_id", std::to_string(m_cluster)},
+            {"member_id", "1"},
+            {"revision", std::to_string(m_revision)}};
 }
 
 json key_value_table::range(const json& request) const
--- a/tests/stand_ins/key_value_table.hpp
+++ b/tests/stand_ins/key_value_table.hpp
@@ -32,6 +32,14 @@
 
     /// Ends leases whose time is over.
     void expire_leases(std::int64_t now_s);
+    /// Goes back to a copy, as a cluster with another id: what was written since is lost.
+    void restore(const key_value_table& copy)
+    {
+        const auto cluster = m_cluster + 1;
+        *this = copy;
+        m_cluster = cluster;
+    }
+    nlohmann::json header() const;
     /// Forgets the history up to a revision.
     void compact(std::int64_t revision) { m_compacted = revision; }
 
@@ -54,7 +62,6 @@
         std::int64_t ends_s = 0;
     };
 
-    nlohmann::json header() const;
     bool holds(const nlohmann::json& compare) const;
     bool has_unknown_lease(const nlohmann::json& operations) const;
     nlohmann::json run(const nlohmann::json& operation, std::int64_t revision, bool& wrote);
@@ -65,6 +72,7 @@
     void erase(const std::string& key, std::int64_t revision);
     void end_lease(std::int64_t id);
 
+    std::int64_t m_cluster = 1;
     std::int64_t m_revision = 1;
     std::int64_t m_compacted = 0;
     std::int64_t m_next_lease = 1000;
--- a/tests/stand_ins/store_main.cpp
+++ b/tests/stand_ins/store_main.cpp
@@ -72,6 +72,17 @@
             m_table.compact(m_table.revision());
             return answer->reply({200, {}, "ok\n"});
         }
+        if (request.path == "/stand_in/copy")
+        {
+            m_copy = m_table;
+            return answer->reply({200, {}, "ok\n"});
+        }
+        if (request.path == "/stand_in/restore")
+        {
+            m_table.restore(m_copy);
+            cut_watches();
+            return answer->reply({200, {}, "ok\n"});
+        }
         ++m_calls;
         const auto body = json::parse(request.body, nullptr, false);
         if (request.path == "/v3/watch")
@@ -117,8 +128,12 @@
     void drop_watches_when_down()
     {
         const io::http_request probe{"POST", "/v3/watch"};
-        if (m_gate.next(probe) != fault::down)
-            return;
+        if (m_gate.next(probe) == fault::down)
+            cut_watches();
+    }
+
+    void cut_watches()
+    {
         for (const auto& it : m_watchers)
             it.answer->cut();
         m_watchers.clear();
@@ -152,7 +167,7 @@
 
     void send(const watcher& it, json result)
     {
-        result["header"] = {{"revision", std::to_string(m_table.revision())}};
+        result["header"] = m_table.header();
         it.answer->write(json{{"result", std::move(result)}}.dump() + "\n");
     }
 
@@ -188,6 +203,7 @@
     io::event_loop m_loop;
     fault_gate m_gate{m_loop};
     key_value_table m_table;
+    key_value_table m_copy;
     std::list<watcher> m_watchers;
     std::uint64_t m_calls = 0;
     io::http_server m_server;
