--- a/source/agent/ledger_session.cpp
+++ b/source/agent/ledger_session.cpp
@@ -47,7 +47,8 @@
 
 void ledger_session::write(const ledger::write_record& w)
 {
-    m_agent.ledger().write(m_key, w.expected, ledger::serialize(w.value),
+    const bool says_run = w.value.state != ledger::record_state::withdrawn;
+    m_agent.ledger().write(m_key, w.expected, ledger::serialize(w.value), says_run,
                            [self = shared_from_this()](const auto& response)
                            { self->carry_out(self->m_attempt.written(response, common::now())); });
 }
--- a/source/core/ledger/attempt.cpp
+++ b/source/core/ledger/attempt.cpp
@@ -127,8 +127,9 @@
     if (!current)
     {
         // A late claim could still be applied to the absent key, so a withdrawn record must be
-        // written first.
-        if (m_record.state != record_state::withdrawn || m_expected == 0)
+        // written first. The record of a call that ran may be missing because the store was
+        // restored from a copy.
+        if (m_expected == 0)
             return finish(discard_attempt{});
         m_expected = 0;
         return {current_write()};
--- a/tests/failures/once_only_test.cpp
+++ b/tests/failures/once_only_test.cpp
@@ -191,6 +191,35 @@
     cr_assert_eq(d.executions().at("r-1"), 1);
 }
 
+/// The record that the call has run was lost, so that a repeat ran it again.
+Test(once_only, records_lost_by_a_restored_store)
+{
+    deployment d{orders_plan()};
+    d.call(d.address("store"), {"POST", "/stand_in/copy"});
+    cr_assert_eq(d.call(d.address("router-0"), order("r-1")).status, created);
+    d.call(d.address("store"), {"POST", "/stand_in/restore"});
+    for (int i = 0; i < 6; ++i)
+        d.call(d.address(common::concat("router-", i % 2)), order(common::concat("other-", i)));
+    cr_assert(d.wait_until(
+        [&] { return d.call(d.address("router-1"), order("r-1")).status == created; }));
+    cr_assert_eq(d.executions().at("r-1"), 1);
+}
+
+Test(once_only, restored_store)
+{
+    deployment d{orders_plan()};
+    order_storm storm{d, "restored", 400};
+    storm.run(
+        [&](int round)
+        {
+            if (round == 20)
+                d.call(d.address("store"), {"POST", "/stand_in/copy"});
+            if (round == 60)
+                d.call(d.address("store"), {"POST", "/stand_in/restore"});
+        });
+    storm.check();
+}
+
 Test(once_only, lost_store_answers)
 {
     deployment d{orders_plan()};
