Restore the store from a copy in half of the soak's runs

The copy and the restore are drawn from a generator of their own, so that the other faults of a seed stay the same. Operators and targets write again what they wrote since the copy. Not yet run by hand on fresh seeds.

--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -180,6 +180,35 @@
     later(draw_time(200, 2000), [this] { m_site.store().set_mood(store_mood::serves); });
 }
 
+/// Draws from a generator of its own, so that the other faults of a seed stay the same.
+void soak_world::plan_restore()
+{
+    std::mt19937_64 random{m_seed ^ 0x5e70};
+    if (random() % 2 == 0)
+        return;
+    const auto half = static_cast<std::uint64_t>(m_length.count() / 2);
+    m_copy_at = common::now() + milliseconds{random() % half};
+    m_restore_at = m_copy_at + milliseconds{random() % half};
+}
+
+/// The operators and the targets write again what they wrote since the copy.
+void soak_world::restore_store_when_due()
+{
+    const auto now = common::now();
+    if (now >= m_copy_at)
+    {
+        m_copy_at = common::timestamp::max();
+        m_site.store().take_copy();
+    }
+    if (now < m_restore_at)
+        return;
+    m_restore_at = common::timestamp::max();
+    m_site.store().restore();
+    m_site.put_config(m_site.config(m_config_version));
+    for (const auto& it : m_targets)
+        it->put_entry();
+}
+
 void soak_world::state_change()
 {
     auto& target = any_target();
@@ -312,10 +341,12 @@
 {
     for (std::size_t i = 0; i < gateways; ++i)
         m_site.wait_ready(i);
+    plan_restore();
     const auto end = common::now() + m_length;
     while (common::now() < end)
     {
         tick();
+        restore_store_when_due();
         if (draw(10) < calls_in_ten_ticks)
             begin_call(draw(gateways));
         if (draw(ticks_between_faults) == 0 && m_undos.size() < most_faults_at_once)
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -53,6 +53,8 @@
     void target_fault();
     void path_fault();
     void store_fault();
+    void plan_restore();
+    void restore_store_when_due();
     void state_change();
     void gateway_fault();
     void stop_gateway(std::size_t i);
@@ -65,6 +67,10 @@
     std::uint64_t m_seed;
     common::milliseconds m_length;
     std::mt19937_64 m_random;
+    /// When a copy of the store is taken, and when the store is restored from it; never in half of
+    /// the runs.
+    common::timestamp m_copy_at = common::timestamp::max();
+    common::timestamp m_restore_at = common::timestamp::max();
     platform_tests::gateway_deployment m_site;
     run_counts m_runs;
     std::vector<std::unique_ptr<soak_target>> m_targets;
