--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -49,6 +49,8 @@
     {target_busy, "target_busy", 503, not_run, "The target has asked to be left alone for a time."},
     {prompt_quarantined, "prompt_quarantined", 503, not_run,
      "A part of the prompt has crashed targets."},
+    {request_quarantined, "request_quarantined", 503, not_run,
+     "The same request has crashed targets."},
 
     {outcome_unknown, "outcome_unknown", 504, unknown,
      "The call may have run; its answer was lost."},
--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -52,6 +52,7 @@
     router_full = 2011,
     target_busy = 2012,
     prompt_quarantined = 2013,
+    request_quarantined = 2014,
 
     outcome_unknown = 3001,
     in_progress = 3002,
--- a/source/core/fleet/configuration.cpp
+++ b/source/core/fleet/configuration.cpp
@@ -70,6 +70,12 @@
     return it == services.end() ? std::string{} : it->second.health_path;
 }
 
+bool configuration::is_group(const std::string& name) const
+{
+    const auto it = services.find(name);
+    return it != services.end() && it->second.engine && it->second.engine->expert_sets > 0;
+}
+
 const team* configuration::find_team(const std::string& key) const
 {
     const auto it = m_teams_by_key.find(key);
--- a/source/core/fleet/configuration.hpp
+++ b/source/core/fleet/configuration.hpp
@@ -152,6 +152,8 @@
     const team* find_team(const std::string& key) const;
     /// The path of a service's health check; empty when it has none.
     std::string health_path(const std::string& name) const;
+    /// True when the targets of a service are the ranks of groups, which fail together.
+    bool is_group(const std::string& name) const;
     std::size_t route_count() const { return m_routes.size(); }
 
 private:
--- a/source/core/policy/crash_attribution.cpp
+++ b/source/core/policy/crash_attribution.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <numeric>
 #include <utility>
 
 namespace kumquatgap::policy
@@ -15,45 +14,12 @@
 constexpr double head_weight = 0.05;
 /// Other gateways have reported after this many broadcasts, even if one is lost.
 constexpr int broadcasts_to_settle = 3;
-/// What a broadcast needs for a crash, and for a part, besides their names.
-constexpr std::size_t crash_bytes = 64;
-constexpr std::size_t part_bytes = 16;
 
 bool contains_any(const std::set<std::string>& set, const std::vector<std::string>& parts)
 {
     return std::ranges::any_of(parts, [&](const auto& it) { return set.contains(it); });
 }
 
-/// A part is named in its crash, and once more with the time at which it was served.
-std::size_t broadcast_bytes_of(const std::string& part)
-{
-    return 2 * (part.size() + part_bytes);
-}
-
-std::size_t broadcast_bytes_of(const std::set<std::string>& parts)
-{
-    return std::accumulate(parts.begin(), parts.end(), std::size_t{0},
-                           [](std::size_t sum, const auto& it)
-                           { return sum + broadcast_bytes_of(it); });
-}
-
-/// Passes the entries of a map, beginning with the key `next`, to `take` until that returns false.
-/// Then `next` is the key of the refused entry, so that the following call continues there.
-template <typename map_type, typename function>
-void take_in_turn(const map_type& entries, std::string& next, function take)
-{
-    auto it = entries.lower_bound(next);
-    for (std::size_t i = 0; i < entries.size(); ++i, ++it)
-    {
-        if (it == entries.end())
-            it = entries.begin();
-        if (take(*it))
-            continue;
-        next = it->first;
-        return;
-    }
-}
-
 } // namespace
 
 void crash_attribution::note_served(const std::string& part, timestamp at)
@@ -100,29 +66,6 @@
     m_head_fraction += head_weight * (std::min(fraction, 1.0) - m_head_fraction);
 }
 
-void crash_attribution::record_lost(const std::string& target,
-                                    const std::vector<std::string>& parts, bool has_head,
-                                    timestamp now)
-{
-    if (parts.empty())
-        return;
-    auto& it = m_crashes.try_emplace(target, crash{now, false, {}, {}}).first->second;
-    add_parts(has_head ? it.begun : it.waiting, {parts.begin(), parts.end()});
-    hold(it);
-}
-
-/// Adds parts to one of the two sets of a crash, each of which may fill half of a broadcast: the
-/// parts that waited at the target must not keep out those that it had begun to answer.
-void crash_attribution::add_parts(std::set<std::string>& to, const std::set<std::string>& parts)
-{
-    for (const auto& it : parts)
-    {
-        if (broadcast_bytes_of(to) + broadcast_bytes_of(it) <= m_options.max_broadcast_bytes / 2 &&
-            to.insert(it).second)
-            ++m_evidence_version;
-    }
-}
-
 void crash_attribution::confirm(crash& it)
 {
     if (!std::exchange(it.is_confirmed, true))
@@ -158,29 +101,6 @@
     return out;
 }
 
-void crash_attribution::merge(const crash_evidence& from, timestamp now)
-{
-    for (const auto& [target, it] : from.crashes)
-    {
-        auto& own = m_crashes.try_emplace(target, crash{it.at, false, {}, {}}).first->second;
-        own.at = std::min(own.at, it.at);
-        if (it.is_confirmed)
-            confirm(own);
-        add_parts(own.begun, it.begun);
-        add_parts(own.waiting, it.waiting);
-        hold(own);
-    }
-    for (const auto& [part, at] : from.served)
-        note_heard(part, std::min(at, now));
-    for (const auto& [part, since] : from.quarantined)
-    {
-        // The part was served or released after that gateway drew its conclusion.
-        const auto served = served_at(part);
-        if (!served || *served < since)
-            add_quarantine(part, since);
-    }
-}
-
 void crash_attribution::adopt(const std::string& part, timestamp now)
 {
     add_quarantine(part, now);
@@ -206,21 +126,53 @@
     while (m_crashes.size() > m_options.max_crashes)
         m_crashes.erase(
             std::ranges::min_element(m_crashes, {}, [](const auto& it) { return it.second.at; }));
-    std::erase_if(m_quarantined,
-                  [&](const auto& it) { return now - it.second.since > m_options.lifetime; });
+    std::vector<std::string> ended;
+    for (const auto& [part, it] : m_quarantined)
+    {
+        if (quarantine_end(part, it.since) < now)
+            ended.push_back(part);
+    }
+    for (const auto& it : ended)
+    {
+        // While its crashes are remembered, the part must not be quarantined again for them.
+        if (crashes_with(it) > 0)
+            release(it, now);
+        else
+            m_quarantined.erase(it);
+    }
     std::erase_if(m_heard, [&](const auto& it) { return now - it.second > m_options.lifetime; });
 }
 
+/// A part that other evidence than its own crashes has quarantined stays so for the whole time.
+timestamp crash_attribution::quarantine_end(const std::string& part, timestamp since) const
+{
+    return since + (crashes_with(part) == 1 ? m_options.first_lifetime : m_options.lifetime);
+}
+
+/// The confirmed crashes with a part. Those that have a request in common count once, since that
+/// request accounts for them as well.
 std::size_t crash_attribution::crashes_after(const std::string& part, timestamp at) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(m_crashes,
-                                                          [&](const auto& it)
-                                                          {
-                                                              const auto& c = it.second;
-                                                              return c.is_confirmed && c.at > at &&
-                                                                     (c.begun.contains(part) ||
-                                                                      c.waiting.contains(part));
-                                                          }));
+    std::size_t n = 0;
+    std::set<std::string> seen;
+    for (const auto& [target, c] : m_crashes)
+    {
+        if (!c.is_confirmed || c.at <= at || !(c.begun.contains(part) || c.waiting.contains(part)))
+            continue;
+        const bool is_repeat =
+            std::ranges::any_of(c.requests, [&](const auto& it) { return seen.contains(it); });
+        n += is_repeat ? 0 : 1;
+        seen.insert(c.requests.begin(), c.requests.end());
+    }
+    return n;
+}
+
+/// The lost connections with a part, whether or not these were crashes.
+std::size_t crash_attribution::losses_with(const std::string& part) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_crashes, [&](const auto& it)
+        { return it.second.begun.contains(part) || it.second.waiting.contains(part); }));
 }
 
 std::size_t crash_attribution::crashes_with(const std::string& part) const
@@ -256,6 +208,7 @@
 /// call itself is about to be retried.
 void crash_attribution::hold(const crash& it)
 {
+    hold_waiting(it);
     if (!heads_come_with_events())
         return;
     const auto open = uncleared(it.begun, it);
@@ -263,6 +216,21 @@
         m_held.insert(open.begin(), open.end());
 }
 
+/// Holds the parts of waiting requests that are in so many losses that, if these are crashes, the
+/// parts are quarantined.
+void crash_attribution::hold_waiting(const crash& it)
+{
+    if (!it.begun.empty() && heads_come_with_events())
+        return;
+    std::ranges::copy_if(it.waiting, std::inserter(m_held, m_held.end()),
+                         [&](const auto& part)
+                         {
+                             return !served_at(part) && !m_quarantined.contains(part) &&
+                                    losses_with(part) >=
+                                        static_cast<std::size_t>(m_options.crashes_without_head);
+                         });
+}
+
 /// True when a part that is known to crash targets accounts for the crash.
 bool crash_attribution::is_explained(const std::vector<std::string>& parts,
                                      const std::set<std::string>& culprits) const
@@ -323,6 +291,8 @@
             parts.insert(it.begun.begin(), it.begun.end());
             if (it.is_confirmed)
                 waiting.push_back(uncleared(parts, it));
+            else
+                hold_waiting(it);
             continue;
         }
         auto open = uncleared(it.begun, it);
@@ -405,48 +375,8 @@
     for (const auto& it : parts)
     {
         if (const auto found = m_quarantined.find(it); found != m_quarantined.end())
-            out = std::max(out, std::chrono::duration_cast<milliseconds>(found->second.since +
-                                                                         m_options.lifetime - now));
-    }
-    return out;
-}
-
-crash_evidence crash_attribution::to_broadcast(timestamp now)
-{
-    crash_evidence out;
-    std::set<std::string> parts;
-    std::size_t bytes = 0;
-    take_in_turn(m_crashes, m_next_crash,
-                 [&](const auto& entry)
-                 {
-                     const auto& [target, it] = entry;
-                     if (now - it.at > m_options.broadcast_time)
-                         return true;
-                     bytes += crash_bytes + target.size() + broadcast_bytes_of(it.begun) +
-                              broadcast_bytes_of(it.waiting);
-                     if (bytes > m_options.max_broadcast_bytes && !out.crashes.empty())
-                         return false;
-                     out.crashes.emplace(target, it);
-                     parts.insert(it.begun.begin(), it.begun.end());
-                     parts.insert(it.waiting.begin(), it.waiting.end());
-                     return true;
-                 });
-    bytes = 0;
-    take_in_turn(m_quarantined, m_next_quarantined,
-                 [&](const auto& entry)
-                 {
-                     const auto& [part, it] = entry;
-                     bytes += broadcast_bytes_of(part);
-                     if (bytes > m_options.max_broadcast_bytes)
-                         return false;
-                     out.quarantined.emplace(part, it.since);
-                     parts.insert(part);
-                     return true;
-                 });
-    for (const auto& part : parts)
-    {
-        if (const auto at = own_served_at(part))
-            out.served.emplace(part, *at);
+            out = std::max(out, std::chrono::duration_cast<milliseconds>(
+                                    quarantine_end(it, found->second.since) - now));
     }
     return out;
 }
--- a/source/core/policy/crash_attribution.hpp
+++ b/source/core/policy/crash_attribution.hpp
@@ -28,6 +28,8 @@
     /// How long crashes are remembered and parts are quarantined. Afterwards a part gets a new
     /// chance, since the engines may have been repaired.
     milliseconds lifetime{600'000};
+    /// How long a part is quarantined after its only crash.
+    milliseconds first_lifetime{600'000};
     /// How long evidence is broadcast, since datagrams get lost.
     milliseconds broadcast_time{30'000};
     /// After this many crashes since a part was last served, it may have caused them although it
@@ -51,6 +53,8 @@
     /// The most bytes of crashes, and of quarantined parts, in one broadcast, since a datagram also
     /// contains the loads. Further parts of a crash that exceeds this alone are left out.
     std::size_t max_broadcast_bytes = 4096;
+    /// The most requests of a crash that are remembered.
+    std::size_t max_requests = 16;
 };
 
 /// Whether a request may be sent.
@@ -77,6 +81,8 @@
         /// there, at the time of the crash.
         std::set<std::string> begun;
         std::set<std::string> waiting;
+        /// The requests that these parts were in, as keys; empty when that is not known.
+        std::set<std::string> requests = {};
 
         bool operator==(const crash&) const = default;
     };
@@ -109,8 +115,9 @@
     void record_served(const std::vector<std::string>& parts, milliseconds to_head,
                        milliseconds to_event, timestamp now);
     /// The connection to a target was lost before the first event of a request with these parts.
+    /// `request` is the same each time a request is sent; empty if that is not known.
     void record_lost(const std::string& target, const std::vector<std::string>& parts,
-                     bool has_head, timestamp now);
+                     bool has_head, timestamp now, const std::string& request = {});
     /// The target does not accept connections, or has been replaced.
     void record_gone(const std::string& target, timestamp now);
     /// The target still serves, so a lost connection was no crash.
@@ -162,12 +169,16 @@
         return (now - m_last_crash) / m_options.trial_time;
     }
     std::optional<timestamp> served_at(const std::string& part) const;
+    timestamp quarantine_end(const std::string& part, timestamp since) const;
     void forget_old(timestamp now);
     bool heads_come_with_events() const { return m_head_fraction >= m_options.min_head_fraction; }
     std::size_t crashes_after(const std::string& part, timestamp at) const;
     bool is_cleared(const std::string& part, const crash& of) const;
     std::vector<std::string> uncleared(const std::set<std::string>& parts, const crash& of) const;
     void hold(const crash& it);
+    void hold_waiting(const crash& it);
+    std::size_t losses_with(const std::string& part) const;
+    void add_requests(crash& to, const std::set<std::string>& requests);
     bool is_explained(const std::vector<std::string>& parts,
                       const std::set<std::string>& culprits) const;
     void add_parts(std::set<std::string>& to, const std::set<std::string>& parts);
--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -1,28 +1,23 @@
 #include "gateway/crash_guard.hpp"
 
+#include "common/hash.hpp"
 #include "common/log.hpp"
 #include "common/text.hpp"
 
+#include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace kumquatgap::gateway
 {
 
 using common::milliseconds;
+using policy::part_verdict;
 
 namespace
 {
 
-/// How long a quarantine lasts: the longest lease of the store.
-constexpr milliseconds quarantine_time{600'000};
-/// All gateways come to the same conclusion; they write it spread over this time, so that most find
-/// it written.
-constexpr milliseconds save_spread{500};
-constexpr milliseconds save_retry{3000};
 /// A host that drops packets gives no answer at all.
 constexpr milliseconds probe_timeout{1000};
 constexpr milliseconds rebroadcast_period{100};
@@ -33,41 +28,56 @@
     return common::concat(it.id, "@", it.started_at);
 }
 
+/// 128 bits, so that two requests do not meet by chance.
+std::string digest_of(std::string_view text)
+{
+    return absl::StrFormat("%016x%016x", common::hash64(text, 0), common::hash64(text, 1));
+}
+
 } // namespace
 
 crash_guard::crash_guard(kv::store& store, io::http_client& client, const protocol_adapter& adapter,
                          std::string gateway)
-    : m_store{store}, m_client{client}, m_adapter{adapter}, m_gateway{std::move(gateway)},
-      m_attribution{{.lifetime = quarantine_time}}
+    : m_client{client}, m_adapter{adapter}, m_parts{quarantine_kind::prompt_part, store, gateway},
+      m_requests{quarantine_kind::request, store, gateway}
 {
 }
 
-std::vector<std::string> crash_guard::shared_parts(std::string_view service,
-                                                   const std::vector<std::string>& prompt_parts)
+call_marks crash_guard::marks_of(std::string_view service, std::string_view caller,
+                                 const io::http_request& request,
+                                 const std::vector<std::string>& prompt_parts)
 {
-    std::vector<std::string> out;
+    call_marks out;
     for (std::size_t i = 0; i + 1 < prompt_parts.size(); ++i)
-        out.push_back(common::concat(service, "/", prompt_parts[i]));
+        out.parts.push_back(common::concat(service, "/", prompt_parts[i]));
+    const auto text =
+        common::concat(request.method, "\n", request.headers.find("host"), "\n", request.path, "\n",
+                       request.query, "\n", caller, "\n", request.body);
+    out.request = {common::concat(service, "/", digest_of(text))};
     return out;
 }
 
-void crash_guard::record_lost(const fleet::target& it, const std::string& health_path,
-                              const std::vector<std::string>& parts, bool has_head,
-                              std::string_view request, timestamp now)
+void crash_guard::record_lost(const lost_call& it, timestamp now)
 {
-    if (parts.empty())
-        return;
-    const auto key = key_of(it);
-    if (m_lost.try_emplace(key, it.id, it.started_at).second)
+    const auto key = key_of(it.target);
+    if (m_lost.try_emplace(key, it.target.id, it.target.started_at).second)
         common::log(common::log_level::info, "target_lost",
-                    {{"target", it.id},
-                     {"started_at", it.started_at},
-                     {"id", request},
-                     {"has_head", has_head ? 1 : 0},
-                     {"parts", absl::StrJoin(parts, ",")}});
-    m_attribution.record_lost(key, parts, has_head, now);
-    if (has_head && !m_probes.contains(key))
-        probe(it, health_path);
+                    {{"target", it.target.id},
+                     {"started_at", it.target.started_at},
+                     {"id", it.id},
+                     {"has_head", it.has_head ? 1 : 0},
+                     {"parts", absl::StrJoin(it.marks.parts, ",")},
+                     {"request", absl::StrJoin(it.marks.request, ",")}});
+    m_parts.attribution().record_lost(key, it.marks.parts, it.has_head, now,
+                                      it.marks.request.front());
+    // A call may have met a crash by accident, so it gets another attempt; not in a group, where
+    // the next crash would take all of it down. There, calls that wait are none the less many.
+    const bool is_being_answered = it.has_head || !it.is_group;
+    if (!is_being_answered)
+        return;
+    m_requests.attribution().record_lost(key, it.marks.request, it.is_group, now);
+    if (!m_probes.contains(key))
+        probe(it.target, it.health_path);
 }
 
 void crash_guard::probe(const fleet::target& it, const std::string& health_path)
@@ -96,39 +106,100 @@
                  {"status", response.status},
                  {"is_gone", is_gone ? 1 : 0}});
     if (is_gone)
-        m_attribution.record_gone(key, common::now());
+        record_gone(key, common::now());
     else if (how == io::call_outcome::complete)
-        m_attribution.record_alive(key);
+    {
+        m_parts.attribution().record_alive(key);
+        m_requests.attribution().record_alive(key);
+    }
     if (const auto it = m_probes.find(key); it != m_probes.end())
         it->second.has_ended = true;
 }
 
 void crash_guard::record_gone(const fleet::target& it, timestamp now)
 {
-    m_attribution.record_gone(key_of(it), now);
+    record_gone(key_of(it), now);
+}
+
+void crash_guard::record_gone(const std::string& key, timestamp now)
+{
+    m_parts.attribution().record_gone(key, now);
+    m_requests.attribution().record_gone(key, now);
+}
+
+void crash_guard::record_served(const call_marks& marks, milliseconds to_head,
+                                milliseconds to_event, timestamp now)
+{
+    m_parts.attribution().record_served(marks.parts, to_head, to_event, now);
+    m_requests.attribution().record_served(marks.request, to_head, to_event, now);
+}
+
+void crash_guard::merge(const broadcast_evidence& it, timestamp now)
+{
+    if (!it.parts.empty())
+        m_parts.attribution().merge(it.parts, now);
+    if (!it.requests.empty())
+        m_requests.attribution().merge(it.requests, now);
+}
+
+part_verdict crash_guard::judge(const call_marks& marks) const
+{
+    return std::max(m_parts.attribution().judge(marks.parts),
+                    m_requests.attribution().judge(marks.request));
+}
+
+bool crash_guard::is_own_turn(const call_marks& marks, std::size_t index, std::size_t gateways,
+                              timestamp now) const
+{
+    const auto may_try =
+        [&](const policy::crash_attribution& it, const std::vector<std::string>& items)
+    { return it.judge(items) != part_verdict::suspect || it.is_own_turn(index, gateways, now); };
+    return may_try(m_parts.attribution(), marks.parts) &&
+           may_try(m_requests.attribution(), marks.request);
+}
+
+void crash_guard::record_sent(const call_marks& marks, timestamp now)
+{
+    if (m_parts.attribution().judge(marks.parts) == part_verdict::suspect)
+        m_parts.attribution().record_trial(now);
+    if (m_requests.attribution().judge(marks.request) == part_verdict::suspect)
+        m_requests.attribution().record_trial(now);
+}
+
+common::failure crash_guard::refusal(const call_marks& marks, timestamp now) const
+{
+    using common::result_code;
+    const auto parts_left = m_parts.attribution().quarantine_left(marks.parts, now);
+    const auto request_left = m_requests.attribution().quarantine_left(marks.request, now);
+    const auto code = request_left > parts_left ? result_code::request_quarantined
+                                                : result_code::prompt_quarantined;
+    return {code, "", std::max(parts_left, request_left)};
 }
 
 /// Confirms the crashes of targets that another start has replaced or whose entry has ended.
 void crash_guard::confirm_replaced(const fleet::target_table& targets, timestamp now)
 {
-    const auto unconfirmed = m_attribution.unconfirmed();
+    auto unconfirmed = m_parts.attribution().unconfirmed();
+    const auto requests = m_requests.attribution().unconfirmed();
+    unconfirmed.insert(unconfirmed.end(), requests.begin(), requests.end());
     std::erase_if(m_lost, [&](const auto& it)
                   { return std::ranges::find(unconfirmed, it.first) == unconfirmed.end(); });
     for (const auto& [key, it] : m_lost)
     {
         if (!targets.is_registered(it.first, it.second, now))
-            m_attribution.record_gone(key, now);
+            record_gone(key, now);
     }
 }
 
-policy::crash_evidence crash_guard::to_broadcast(timestamp now)
+broadcast_evidence crash_guard::to_broadcast(timestamp now)
 {
-    const auto version = m_attribution.evidence_version();
+    const auto version =
+        m_parts.attribution().evidence_version() + m_requests.attribution().evidence_version();
     if (version == m_broadcast_version && now - m_broadcast_at < rebroadcast_period)
         return {};
     m_broadcast_version = version;
     m_broadcast_at = now;
-    return m_attribution.to_broadcast(now);
+    return {m_parts.attribution().to_broadcast(now), m_requests.attribution().to_broadcast(now)};
 }
 
 void crash_guard::tick(const fleet::target_table& targets, timestamp now, double draw,
@@ -136,90 +207,21 @@
 {
     std::erase_if(m_probes, [](const auto& it) { return it.second.has_ended; });
     confirm_replaced(targets, now);
-    const auto decided = m_attribution.decide(now, broadcast_interval);
-    for (const auto& part : decided.quarantined)
-    {
-        common::log(common::log_level::warn, "prompt_part_quarantined",
-                    {{"part", part},
-                     {"crashes", m_attribution.crashes_with(part)},
-                     {"for_ms", quarantine_time.count()}});
-        m_unsaved.emplace(part, now + milliseconds{static_cast<std::int64_t>(
-                                          static_cast<double>(save_spread.count()) * draw)});
-    }
-    for (const auto& part : decided.released)
-    {
-        common::log(common::log_level::info, "prompt_part_released",
-                    {{"part", part}, {"reason", "served"}});
-        m_unsaved.erase(part);
-        remove_entry(part);
-    }
-    for (auto& [part, at] : m_unsaved)
-    {
-        if (now < at)
-            continue;
-        at = now + save_retry;
-        save(part);
-    }
-}
-
-void crash_guard::save(const std::string& part)
-{
-    m_store.grant_lease(quarantine_time,
-                        [this, part](const auto& response)
-                        {
-                            if (response)
-                                return write_entry(part, response.value());
-                            common::log(common::log_level::warn, "quarantine_not_stored",
-                                        {{"part", part}, {"detail", response.error().detail}});
-                        });
-}
-
-void crash_guard::write_entry(const std::string& part, kv::lease lease)
-{
-    const auto key = common::concat(quarantine_prefix, part);
-    const auto value =
-        nlohmann::json{{"by", m_gateway}, {"crashes", m_attribution.crashes_with(part)}}.dump();
-    m_store.write({{{{key, 0}}, {{key, value, lease}}}},
-                  [this, part](const auto& response)
-                  {
-                      // Written, or another gateway has written it.
-                      if (response)
-                          m_unsaved.erase(part);
-                      else
-                          common::log(common::log_level::warn, "quarantine_not_stored",
-                                      {{"part", part}, {"detail", response.error().detail}});
-                  });
-}
-
-void crash_guard::remove_entry(const std::string& part)
-{
-    m_store.write({{{}, {{common::concat(quarantine_prefix, part), std::nullopt}}}},
-                  [part](const auto& response)
-                  {
-                      if (!response)
-                          common::log(common::log_level::warn, "quarantine_not_removed",
-                                      {{"part", part}, {"detail", response.error().detail}});
-                  });
+    m_parts.tick(now, draw, broadcast_interval);
+    m_requests.tick(now, draw, broadcast_interval);
 }
 
-void crash_guard::handle_entry(const std::string& part, entry_change what, timestamp now)
+void crash_guard::handle_entry(quarantine_kind kind, const std::string& item, entry_change what,
+                               timestamp now)
 {
-    static constexpr auto events = std::to_array<std::string_view>(
-        {"quarantine_stored", "quarantine_ended", "quarantine_lost"});
-    common::log(common::log_level::info, events[static_cast<std::size_t>(what)], {{"part", part}});
-    m_unsaved.erase(part);
-    if (what == entry_change::written)
-        m_attribution.adopt(part, now);
-    else if (what == entry_change::removed)
-        m_attribution.release(part, now);
-    else
-        m_unsaved.emplace(part, now + save_spread);
+    auto& it = kind == quarantine_kind::prompt_part ? m_parts : m_requests;
+    it.handle_entry(item, what, now);
 }
 
 void crash_guard::write_metrics(common::metrics& m) const
 {
-    m.set("kqg_quarantined_parts", static_cast<std::int64_t>(m_attribution.quarantined_count()));
-    m.set("kqg_suspect_parts", static_cast<std::int64_t>(m_attribution.suspect_count()));
+    m_parts.write_metrics(m);
+    m_requests.write_metrics(m);
 }
 
 } // namespace kumquatgap::gateway
--- a/source/gateway/crash_guard.hpp
+++ b/source/gateway/crash_guard.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "common/metrics.hpp"
+#include "common/result_code.hpp"
 #include "fleet/target_table.hpp"
-#include "gateway/entry_change.hpp"
 #include "gateway/protocol_adapter.hpp"
+#include "gateway/quarantine.hpp"
 #include "io/http_client.hpp"
 #include "kv/store.hpp"
 #include "policy/crash_attribution.hpp"
@@ -18,44 +19,76 @@
 namespace kumquatgap::gateway
 {
 
-using common::timestamp;
+/// What the crash guard recognises a call by.
+struct call_marks
+{
+    /// Keys of the parts of the prompt that other calls may have too: all but the last one.
+    std::vector<std::string> parts;
+    /// The key of the request as a whole, which is the same when its caller sends it again.
+    std::vector<std::string> request;
+};
 
-/// Store keys with this prefix name the quarantined parts of prompts, as `SERVICE/PART`. The value
-/// is for operators only. A key is written under a lease and ends with the quarantine; an operator
-/// ends a quarantine by removing the key.
-inline constexpr std::string_view quarantine_prefix = "kqg/quarantine/";
+/// What is known when the connection to a target was lost before the first event of a call.
+struct lost_call
+{
+    const fleet::target& target;
+    std::string health_path;
+    const call_marks& marks;
+    std::string_view id;
+    bool has_head = false;
+    /// A crash of the target takes a whole group of targets down.
+    bool is_group = false;
+};
 
-/// Keeps prompts that crash targets away from them: names targets and parts for the crash
-/// attribution, and logs and stores what it concludes, so that a gateway that starts later knows
-/// it.
+/// The evidence about crashes that a message to the other gateways contains.
+struct broadcast_evidence
+{
+    policy::crash_evidence parts;
+    policy::crash_evidence requests;
+};
+
+/// Keeps prompts and requests that crash targets away from them: names targets, parts and requests
+/// for the crash attribution, probes targets, and quarantines what the attribution finds.
 class crash_guard
 {
 public:
     crash_guard(kv::store& store, io::http_client& client, const protocol_adapter& adapter,
                 std::string gateway);
 
-    /// The keys of the parts that a call shares with others: all but the last one.
-    static std::vector<std::string> shared_parts(std::string_view service,
-                                                 const std::vector<std::string>& prompt_parts);
+    /// The marks of a call of `caller`; `prompt_parts` is empty if it has no prompt.
+    static call_marks marks_of(std::string_view service, std::string_view caller,
+                               const io::http_request& request,
+                               const std::vector<std::string>& prompt_parts);
 
-    /// The connection to a target was lost before the first event of a request. When the target had
-    /// begun to answer, it is probed at its health path, since without other calls nothing would
-    /// show for seconds whether it is gone.
-    void record_lost(const fleet::target& it, const std::string& health_path,
-                     const std::vector<std::string>& parts, bool has_head, std::string_view request,
-                     timestamp now);
+    /// The connection to a target was lost before the first event of a call. The target is probed
+    /// at its health path if it had begun to answer or the call could run again, since without
+    /// other calls nothing would show for seconds whether it is gone.
+    void record_lost(const lost_call& it, timestamp now);
     void record_gone(const fleet::target& it, timestamp now);
-    policy::crash_attribution& attribution() { return m_attribution; }
-    const policy::crash_attribution& attribution() const { return m_attribution; }
-    /// The store has a key with the prefix, or no longer.
-    void handle_entry(const std::string& part, entry_change what, timestamp now);
-    /// Draws conclusions; `draw`, a random number in [0, 1), spreads the writes of the gateways.
-    /// `broadcast_interval` is the time between two broadcasts of a gateway.
+    /// A stream has got its first event, after these times, or the response of a call is complete.
+    void record_served(const call_marks& marks, common::milliseconds to_head,
+                       common::milliseconds to_event, timestamp now);
+    /// Adds the evidence of another gateway.
+    void merge(const broadcast_evidence& it, timestamp now);
+
+    policy::part_verdict judge(const call_marks& marks) const;
+    /// Whether gateway number `index` of `gateways` may send a suspect call now.
+    bool is_own_turn(const call_marks& marks, std::size_t index, std::size_t gateways,
+                     timestamp now) const;
+    /// The call is sent to a target.
+    void record_sent(const call_marks& marks, timestamp now);
+    /// The refusal of a quarantined call, with the time until its quarantine ends.
+    common::failure refusal(const call_marks& marks, timestamp now) const;
+
+    /// The store has a key of this kind, or no longer.
+    void handle_entry(quarantine_kind kind, const std::string& item, entry_change what,
+                      timestamp now);
+    /// Draws conclusions; see quarantine::tick().
     void tick(const fleet::target_table& targets, timestamp now, double draw,
               common::milliseconds broadcast_interval);
-    /// The evidence that a message to the other gateways contains: new evidence at once, and all of
-    /// it again from time to time, since messages get lost.
-    policy::crash_evidence to_broadcast(timestamp now);
+    /// The evidence for the next broadcast: new evidence at once, and all of it again from time to
+    /// time, since messages get lost.
+    broadcast_evidence to_broadcast(timestamp now);
     void write_metrics(common::metrics& m) const;
 
 private:
@@ -63,9 +96,7 @@
     void handle_probe(const std::string& key, io::call_outcome how,
                       const io::http_response& response);
     void confirm_replaced(const fleet::target_table& targets, timestamp now);
-    void save(const std::string& part);
-    void write_entry(const std::string& part, kv::lease lease);
-    void remove_entry(const std::string& part);
+    void record_gone(const std::string& key, timestamp now);
 
     struct open_probe
     {
@@ -73,17 +104,14 @@
         bool has_ended = false;
     };
 
-    kv::store& m_store;
     io::http_client& m_client;
     const protocol_adapter& m_adapter;
-    std::string m_gateway;
-    policy::crash_attribution m_attribution;
+    quarantine m_parts;
+    quarantine m_requests;
     /// Id and start of the targets of recent crashes, by their keys in the attribution.
     std::map<std::string, std::pair<std::string, std::int64_t>> m_lost;
     /// By the same keys.
     std::map<std::string, open_probe> m_probes;
-    /// Parts that the store does not have yet, and when they are written next.
-    std::map<std::string, timestamp> m_unsaved;
     std::uint64_t m_broadcast_version = 0;
     timestamp m_broadcast_at;
 };
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -102,7 +102,8 @@
     if (!common::parse_number(std::string_view{m_last_event_id}, m_last_event_number))
         m_last_event_number = -1;
     m_service = fleet::pick_service(*m_route, m_gateway.random());
-    m_shared_parts = crash_guard::shared_parts(m_service, m_caller.prompt_parts);
+    m_marks = crash_guard::marks_of(m_service, m_team.empty() ? m_caller.api_key : m_team,
+                                    m_received.request, m_caller.prompt_parts);
     if (is_quarantined())
         return refuse_quarantined();
     m_gateway.retry_budget().record_call(m_service, m_arrived_at);
@@ -220,8 +221,8 @@
             static_cast<double>(elapsed_ms(it.started(), now)));
     }
     if (!m_last_event_at)
-        m_gateway.crashes().attribution().record_served(
-            m_shared_parts, std::chrono::duration_cast<milliseconds>(it.head_at() - it.started()),
+        m_gateway.crashes().record_served(
+            m_marks, std::chrono::duration_cast<milliseconds>(it.head_at() - it.started()),
             std::chrono::duration_cast<milliseconds>(now - it.started()), now);
     else
     {
@@ -291,6 +292,12 @@
 {
     const bool is_failure = response.status >= first_server_error;
     const bool was_stream = it.has_started_stream();
+    if (!was_stream)
+    {
+        const auto now = common::now();
+        const auto time = std::chrono::duration_cast<milliseconds>(now - it.started());
+        m_gateway.crashes().record_served(m_marks, time, time, now);
+    }
     m_gateway.service(m_service).is_recovering = false;
     m_tried.insert(it.target().id);
     release_attempt(it);
@@ -368,15 +375,13 @@
 
 bool exchange::is_quarantined() const
 {
-    return !m_last_event_at && m_gateway.crashes().attribution().judge(m_shared_parts) ==
-                                   policy::part_verdict::quarantined;
+    return !m_last_event_at &&
+           m_gateway.crashes().judge(m_marks) == policy::part_verdict::quarantined;
 }
 
 void exchange::refuse_quarantined()
 {
-    const auto left =
-        m_gateway.crashes().attribution().quarantine_left(m_shared_parts, common::now());
-    const common::failure why{result_code::prompt_quarantined, "", left};
+    const auto why = m_gateway.crashes().refusal(m_marks, common::now());
     m_responder->reply(m_gateway.adapter().error_response(why));
     end("request_refused", why.code, common::info(why.code).http_status);
 }
@@ -393,7 +398,8 @@
         m_attempt->cancel(target_health::unknown);
     if (m_attempts.is_certainly_not_executed() && !m_responder->is_started())
         return refuse_quarantined();
-    fail(result_code::outcome_unknown, common::info(result_code::prompt_quarantined).name.data());
+    const auto why = m_gateway.crashes().refusal(m_marks, common::now());
+    fail(result_code::outcome_unknown, common::info(why.code).name.data());
 }
 
 void exchange::report_loss(const attempt& it, attempt_outcome outcome)
@@ -404,8 +410,13 @@
     if (outcome == attempt_outcome::not_sent)
         crashes.record_gone(it.target(), common::now());
     else if (outcome == attempt_outcome::unknown && it.connection_end() == io::call_outcome::cut)
-        crashes.record_lost(it.target(), m_configuration->health_path(m_service), m_shared_parts,
-                            it.has_head(), m_caller.id, common::now());
+        crashes.record_lost({.target = it.target(),
+                             .health_path = m_configuration->health_path(m_service),
+                             .marks = m_marks,
+                             .id = m_caller.id,
+                             .has_head = it.has_head(),
+                             .is_group = m_configuration->is_group(m_service)},
+                            common::now());
 }
 
 milliseconds exchange::retry_after_time() const
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -27,8 +27,8 @@
     std::uint64_t number() const { return m_number; }
     /// Targets to which this call must not be sent again.
     const std::set<std::string>& tried_targets() const { return m_tried; }
-    /// The parts of the prompt that other calls may have too, as keys of the crash guard.
-    const std::vector<std::string>& shared_parts() const { return m_shared_parts; }
+    /// What the crash guard recognises this call by.
+    const call_marks& marks() const { return m_marks; }
     /// The route's target for the longest gap between two events; 0 for none.
     milliseconds gap_goal() const { return m_route->gap_goal; }
     /// Checks the request, and refuses or queues it.
@@ -71,7 +71,8 @@
     void forward_response(const io::http_response& response);
     void finish_stream();
     void handle_deadline();
-    /// True before the first event of a call with a part that crashes targets.
+    /// True before the first event of a call that crashes targets, itself or by a part of its
+    /// prompt.
     bool is_quarantined() const;
     void handle_quarantine();
     void refuse_quarantined();
@@ -97,7 +98,7 @@
     std::string m_team;
     int m_priority = 0;
     std::string m_service;
-    std::vector<std::string> m_shared_parts;
+    call_marks m_marks;
     timestamp m_arrived_at;
     timestamp m_deadline;
     std::optional<timestamp> m_first_sent_at;
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -97,8 +97,7 @@
 
 bool exchange::may_crash_target() const
 {
-    return !m_last_event_at &&
-           m_gateway.crashes().attribution().judge(m_shared_parts) == policy::part_verdict::held;
+    return !m_last_event_at && m_gateway.crashes().judge(m_marks) == policy::part_verdict::held;
 }
 
 /// Takes a call back whose prompt may have crashed another target, before its own target begins to
@@ -112,7 +111,7 @@
     m_gateway.failure_log().write(common::log_level::info, "suspect_call_withdrawn",
                                   {{"id", m_caller.id},
                                    {"target", m_attempt->target().id},
-                                   {"parts", absl::StrJoin(m_shared_parts, ",")},
+                                   {"parts", absl::StrJoin(m_marks.parts, ",")},
                                    {"ms", (now - m_attempt->started()).count()}},
                                   now);
     m_attempts = attempts;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -118,8 +118,10 @@
     m_settings_follower = std::make_unique<shell::settings_follower>(
         m_loop, shell::settings_path(), [this](const std::string& text) { reload_settings(text); });
     m_follower.on_change([this] { handle_state_change(); });
-    m_follower.on_entry(std::string{quarantine_prefix}, [this](const auto& part, entry_change what)
-                        { m_crash_guard.handle_entry(part, what, common::now()); });
+    for (const auto kind : {quarantine_kind::prompt_part, quarantine_kind::request})
+        m_follower.on_entry(std::string{quarantine::prefix_of(kind)},
+                            [this, kind](const auto& item, entry_change what)
+                            { m_crash_guard.handle_entry(kind, item, what, common::now()); });
     m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
     m_store_calls_timer =
         m_loop.every(store_calls_log_period, [this] { m_store.counts().log_totals(); });
@@ -140,8 +142,7 @@
     for (const auto& [id, limit] : it.limits)
         m_follower.note_rate_limit(id, limit, peer);
     m_rate_limiter.update_peer_sends(peer, it.sends, now);
-    if (!it.crashes.empty())
-        m_crash_guard.attribution().merge(it.crashes, now);
+    m_crash_guard.merge({it.crashes, it.request_crashes}, now);
 }
 
 void gateway::apply_target_notices(const fleet::target& it, const target_response& head)
@@ -247,19 +248,19 @@
     const auto found = m_exchanges.find(id);
     if (found == m_exchanges.end())
         return true;
-    const auto verdict = m_crash_guard.attribution().judge(found->second->shared_parts());
+    const auto& marks = found->second->marks();
+    const auto verdict = m_crash_guard.judge(marks);
     return verdict == policy::part_verdict::clear ||
-           (verdict == policy::part_verdict::suspect && is_own_trial_turn(now));
+           (verdict == policy::part_verdict::suspect && is_own_trial_turn(marks, now));
 }
 
 /// Gateways take turns with suspect calls in the order of their names.
-bool gateway::is_own_trial_turn(timestamp now) const
+bool gateway::is_own_trial_turn(const call_marks& marks, timestamp now) const
 {
     const auto& peers = m_follower.peers();
     const auto index = std::ranges::count_if(peers, [&](const auto& it)
                                              { return it.name < m_settings.common.host; });
-    return m_crash_guard.attribution().is_own_turn(static_cast<std::size_t>(index),
-                                                   peers.size() + 1, now);
+    return m_crash_guard.is_own_turn(marks, static_cast<std::size_t>(index), peers.size() + 1, now);
 }
 
 void gateway::dispatch(const std::string& name)
@@ -285,9 +286,7 @@
         if (target.empty())
             return;
         state.queue.started(*id, now);
-        auto& crashes = m_crash_guard.attribution();
-        if (crashes.judge(it->shared_parts()) == policy::part_verdict::suspect)
-            crashes.record_trial(now);
+        m_crash_guard.record_sent(it->marks(), now);
         m_rate_limiter.record_send(target, now);
         it->send_to(*targets().find_usable(target, now));
     }
@@ -326,11 +325,13 @@
 
 void gateway::broadcast_state(timestamp now)
 {
+    auto evidence = m_crash_guard.to_broadcast(now);
     peer_state own{.work = {},
                    .draining = targets().draining_to_broadcast(now),
-                   .crashes = m_crash_guard.to_broadcast(now),
+                   .crashes = std::move(evidence.parts),
                    .limits = {},
-                   .sends = m_rate_limiter.to_broadcast(targets().limited(), now)};
+                   .sends = m_rate_limiter.to_broadcast(targets().limited(), now),
+                   .request_crashes = std::move(evidence.requests)};
     // Each answer of a target confirms its limit, which is no reason to send all limits again.
     if (now - m_limits_sent_at >= limits_broadcast_period)
         own.limits = targets().limits_to_broadcast(now);
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -128,7 +128,7 @@
     std::string pick_target(const std::string& name, service_state& state, const exchange& it,
                             timestamp now);
     bool may_start(std::uint64_t id, timestamp now) const;
-    bool is_own_trial_turn(timestamp now) const;
+    bool is_own_trial_turn(const call_marks& marks, timestamp now) const;
     void tick();
     void broadcast_state(timestamp now);
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
--- a/source/gateway/peer_message.cpp
+++ b/source/gateway/peer_message.cpp
@@ -40,6 +40,11 @@
                         {"confirmed", crash.is_confirmed},
                         {"begun", crash.begun},
                         {"waiting", crash.waiting}};
+    for (const auto& [target, crash] : it.crashes)
+    {
+        if (!crash.requests.empty())
+            lost[target]["requests"] = crash.requests;
+    }
     return {{"lost", std::move(lost)},
             {"served", to_ages(it.served, now)},
             {"quarantined", to_ages(it.quarantined, now)}};
@@ -50,10 +55,11 @@
     using parts = std::set<std::string>;
     policy::crash_evidence out;
     for (const auto& [target, it] : from.at("lost").items())
-        out.crashes.emplace(target, policy::crash_evidence::crash{
-                                        now - milliseconds{it.at("age_ms").get<std::int64_t>()},
-                                        it.at("confirmed").get<bool>(), it.at("begun").get<parts>(),
-                                        it.at("waiting").get<parts>()});
+        out.crashes.emplace(target,
+                            policy::crash_evidence::crash{
+                                now - milliseconds{it.at("age_ms").get<std::int64_t>()},
+                                it.at("confirmed").get<bool>(), it.at("begun").get<parts>(),
+                                it.at("waiting").get<parts>(), it.value("requests", parts{})});
     out.served = from_ages(from.at("served"), now);
     out.quarantined = from_ages(from.at("quarantined"), now);
     return out;
@@ -119,6 +125,8 @@
         message["leaving"] = it.state.draining;
     if (!it.state.crashes.empty())
         message["crashes"] = to_json(it.state.crashes, now);
+    if (!it.state.request_crashes.empty())
+        message["request_crashes"] = to_json(it.state.request_crashes, now);
     if (!it.state.limits.empty())
         message["limits"] = to_json(it.state.limits, now);
     if (!it.state.sends.empty())
@@ -140,6 +148,8 @@
         out.state.draining = message.value("leaving", fleet::draining_targets{});
         if (message.contains("crashes"))
             out.state.crashes = read_crashes(message.at("crashes"), now);
+        if (message.contains("request_crashes"))
+            out.state.request_crashes = read_crashes(message.at("request_crashes"), now);
         out.state.limits = read_limits(message.value("limits", json::object()), now);
         out.state.sends = read_sends(message.value("sends", json::object()), now);
         return out;
--- a/source/gateway/peer_message.hpp
+++ b/source/gateway/peer_message.hpp
@@ -21,15 +21,18 @@
     /// Load by target id.
     loads work;
     fleet::draining_targets draining;
+    /// About parts of prompts.
     policy::crash_evidence crashes;
     fleet::rate_limits limits;
     policy::recent_sends sends;
+    /// About whole requests.
+    policy::crash_evidence request_crashes = {};
 
     bool operator==(const peer_state&) const = default;
     bool empty() const
     {
-        return work.empty() && draining.empty() && crashes.empty() && limits.empty() &&
-               sends.empty();
+        return work.empty() && draining.empty() && crashes.empty() && request_crashes.empty() &&
+               limits.empty() && sends.empty();
     }
 };
 
--- a/source/unit_tests/gateway/peer_message_test.cpp
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -83,6 +83,18 @@
     cr_assert_eq((later - it->state.crashes.quarantined.at("s/p")).count(), 10);
 }
 
+/// The release before ignores the evidence about requests, and sends none.
+Test(peer_message, evidence_about_requests_is_read)
+{
+    auto sent = with_crash();
+    sent.state.request_crashes = sent.state.crashes;
+    const auto it = read_peer_message(to_bytes(sent, "t", now), "t", now);
+    cr_assert(it.has_value());
+    cr_assert(it->state.request_crashes == sent.state.request_crashes);
+    const auto without = read_peer_message(to_bytes(with_crash(), "t", now), "t", now);
+    cr_assert(without.has_value() && without->state.request_crashes.empty());
+}
+
 Test(peer_message, limits_and_sends_are_read_with_the_times_of_the_receiver)
 {
     peer_state state;
--- a/source/unit_tests/policy/crash_attribution_test.cpp
+++ b/source/unit_tests/policy/crash_attribution_test.cpp
@@ -317,3 +317,73 @@
     cr_assert(it.decide(start + 4 * interval, interval).quarantined.empty());
     cr_assert_eq(it.judge(sound), part_verdict::clear);
 }
+
+namespace
+{
+
+constexpr milliseconds first_lifetime{60'000};
+
+crash_attribution for_requests()
+{
+    return crash_attribution{{.first_lifetime = first_lifetime, .crashes_without_head = 2}};
+}
+
+} // namespace
+
+/// A request may have met its only crash by accident, so it is not refused for as long.
+Test(crash_attribution, first_quarantine_is_shorter)
+{
+    auto it = for_requests();
+    crash(it, "t-0", {"r"}, start);
+    cr_assert_eq(verdict_after(it, {"r"}, start), part_verdict::quarantined);
+    cr_assert_leq(it.quarantine_left({"r"}, start).count(),
+                  first_lifetime.count() + settled.count());
+    cr_assert_eq(verdict_after(it, {"r"}, start + first_lifetime + settled), part_verdict::clear);
+    // Two more crashes end the second chance, for the whole time.
+    const auto later = start + 2 * first_lifetime;
+    crash(it, "t-1", {"r"}, later);
+    crash(it, "t-2", {"r"}, later);
+    cr_assert_eq(verdict_after(it, {"r"}, later), part_verdict::quarantined);
+    cr_assert_gt(it.quarantine_left({"r"}, later).count(), 500'000);
+}
+
+/// Without a response head, one crash may be an accident and the request is sent again.
+Test(crash_attribution, request_without_head_is_quarantined_after_two_crashes)
+{
+    auto it = for_requests();
+    crash(it, "t-0", {"r"}, start, false);
+    it.record_lost("t-0", {"other"}, false, start);
+    cr_assert_eq(verdict_after(it, {"r"}, start), part_verdict::clear);
+    crash(it, "t-1", {"r"}, start + settled, false);
+    cr_assert_eq(verdict_after(it, {"r"}, start + settled), part_verdict::quarantined);
+    cr_assert_eq(it.judge({"other"}), part_verdict::clear);
+}
+
+/// A part was blamed that one deadly request has in common with sound ones.
+Test(crash_attribution, crashes_of_one_request_do_not_blame_a_served_part)
+{
+    crash_attribution it;
+    serve(it, sound, start);
+    for (const auto* target : {"t-0", "t-1", "t-2"})
+    {
+        it.record_lost(target, sound, true, start + settled, "r");
+        it.record_gone(target, start + settled);
+    }
+    cr_assert_eq(verdict_after(it, sound, start + 2 * settled), part_verdict::clear);
+    it.record_lost("t-3", sound, true, start + 2 * settled, "other");
+    it.record_gone("t-3", start + 2 * settled);
+    cr_assert_neq(verdict_after(it, sound, start + 3 * settled), part_verdict::clear);
+}
+
+/// Repeats arrive faster than crashes are confirmed.
+Test(crash_attribution, request_is_held_after_its_second_loss)
+{
+    auto it = for_requests();
+    it.record_lost("t-0", {"r"}, false, start);
+    cr_assert_eq(it.judge({"r"}), part_verdict::clear);
+    it.record_lost("t-1", {"r"}, false, start);
+    cr_assert_eq(it.judge({"r"}), part_verdict::held);
+    it.record_alive("t-1");
+    it.decide(start + settled);
+    cr_assert_eq(it.judge({"r"}), part_verdict::clear);
+}
--- /dev/null
+++ b/tests/platform/gateway_deadly_request_test.cpp
@@ -0,0 +1,179 @@
+#include "gateway_deployment.hpp"
+
+#include "common/text.hpp"
+#include "io/http_codec.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace kumquatgap;
+using namespace kumquatgap::platform_tests;
+using stand_ins::scripted_target;
+
+namespace
+{
+
+using reply = scripted_target::reply;
+constexpr std::string_view deadly_body = "{\"deadly\":1}";
+constexpr int last_event = 3;
+/// The crashes after which at most three more requests may reach targets.
+constexpr int max_crashes = 3;
+
+/// Targets that end when they begin to run a request with the deadly body.
+class fragile_targets
+{
+public:
+    /// With `is_group`, the targets of the service `engine` are ranks of a group.
+    explicit fragile_targets(bool is_group = false) : m_deployment{2}
+    {
+        constexpr int targets = 8;
+        for (const auto* service : {"plain", "engine"})
+        {
+            for (int i = 0; i < targets; ++i)
+                add_target(common::concat(service, "-", i), service);
+        }
+        auto config = m_deployment.config(5);
+        if (is_group)
+            config["services"][1]["engine"] = {
+                {"slots", 4}, {"sets", 1}, {"experts", 16}, {"placements", 8}, {"spare", 3}};
+        m_deployment.put_config(config);
+        cr_assert(m_deployment.wait_ready(0) && m_deployment.wait_ready(1));
+    }
+
+    gateway_deployment& deployment() { return m_deployment; }
+
+    /// The same request as before but for its id, at one gateway and then at the other.
+    outcome call_deadly(const std::string& path)
+    {
+        ++m_calls;
+        return call(path, std::string{deadly_body}, m_calls % 2);
+    }
+
+    outcome call_sound(const std::string& path, std::size_t gateway = 0)
+    {
+        ++m_calls;
+        return call(path, common::concat("{\"n\":", m_calls, "}"), gateway);
+    }
+
+    std::ptrdiff_t crashed() const
+    {
+        return std::ranges::count_if(m_targets, [](const auto* it) { return it->has_crashed(); });
+    }
+
+    /// Ends the target of the next request, whatever that is.
+    void crash_at_next_request() { m_crashes_next = true; }
+
+private:
+    void add_target(const std::string& id, const std::string& service)
+    {
+        const auto index = m_targets.size();
+        m_targets.push_back(
+            &m_deployment.add_target(id, service,
+                                     [this, index](const io::http_request& it, const reply& out)
+                                     { answer(index, it, out); }));
+    }
+
+    outcome call(const std::string& path, const std::string& body, std::size_t gateway)
+    {
+        auto it = m_deployment.request(path, common::concat("r", m_calls), body);
+        if (path.starts_with("/draft/"))
+            it.headers.add("X-Prompt-Prefix", common::concat("aa01:40,", m_calls, "f:30"));
+        return m_deployment.call(it, gateway);
+    }
+
+    void answer(std::size_t index, const io::http_request& request, const reply& out)
+    {
+        const bool is_stream = request.path.starts_with("/draft/");
+        if (is_stream)
+            out.write(stream_head(request));
+        if (request.body == deadly_body || std::exchange(m_crashes_next, false))
+            return m_targets[index]->crash();
+        if (!is_stream)
+            return out.write(whole_answer(request, 200, "done"));
+        for (int i = 1; i <= last_event; ++i)
+            out.write(stream_event(i));
+        out.write(io::last_chunk);
+    }
+
+    gateway_deployment m_deployment;
+    std::vector<scripted_target*> m_targets;
+    int m_calls = 0;
+    bool m_crashes_next = false;
+};
+
+void check_deadly_request(const std::string& path, bool is_group)
+{
+    fragile_targets targets{is_group};
+    cr_assert_eq(targets.call_sound(path).answer.status, 200);
+    constexpr int repeats = 10;
+    for (int i = 0; i < repeats; ++i)
+        targets.call_deadly(path);
+    cr_assert_leq(targets.crashed(), max_crashes);
+    for (std::size_t i = 0; i < 2; ++i)
+        cr_assert_eq(targets.call_sound(path, i).answer.status, 200);
+    const auto since = common::now();
+    const auto refused = targets.call_deadly(path);
+    cr_assert_eq(refused.answer.status, 503);
+    cr_assert(!refused.field("retry-after").empty());
+    cr_assert_lt((common::now() - since).count(), 500);
+}
+
+} // namespace
+
+/// A call that may run again was sent from target to target, and so was each repeat.
+Test(gateway_deadly_request, idempotent_request_reaches_few_targets)
+{
+    check_deadly_request("/read/x", false);
+}
+
+Test(gateway_deadly_request, request_that_runs_once_reaches_few_targets)
+{
+    check_deadly_request("/act/x", false);
+}
+
+Test(gateway_deadly_request, stream_reaches_few_targets)
+{
+    check_deadly_request("/draft/x", false);
+}
+
+/// In a group, each further crash takes all of its ranks out of service.
+Test(gateway_deadly_request, stream_of_a_group_crashes_one_rank)
+{
+    fragile_targets targets{true};
+    cr_assert_eq(targets.call_sound("/draft/x").answer.status, 200);
+    constexpr int repeats = 6;
+    for (int i = 0; i < repeats; ++i)
+        targets.call_deadly("/draft/x");
+    cr_assert_eq(targets.crashed(), 1);
+    cr_assert_eq(targets.call_sound("/draft/x").answer.status, 200);
+}
+
+Test(gateway_deadly_request, restarted_gateway_knows_the_request)
+{
+    fragile_targets targets;
+    constexpr int repeats = 6;
+    for (int i = 0; i < repeats; ++i)
+        targets.call_deadly("/act/x");
+    const auto before = targets.crashed();
+    auto& deployment = targets.deployment();
+    cr_assert(deployment.wait_until(
+        [&] { return deployment.log(0).find("quarantine_stored") != std::string::npos; }));
+    deployment.restart_gateway(0);
+    deployment.restart_gateway(1);
+    cr_assert(deployment.wait_ready(0) && deployment.wait_ready(1));
+    for (int i = 0; i < repeats; ++i)
+        cr_assert_eq(targets.call_deadly("/act/x").answer.status, 503);
+    cr_assert_eq(targets.crashed(), before);
+}
+
+/// A request that met a crash by accident is served elsewhere, and may be sent again.
+Test(gateway_deadly_request, request_that_met_one_crash_is_served)
+{
+    fragile_targets targets;
+    targets.crash_at_next_request();
+    cr_assert_eq(targets.call_sound("/read/x").answer.status, 200);
+    targets.crash_at_next_request();
+    cr_assert_eq(targets.call_sound("/draft/x").answer.status, 200);
+    cr_assert_eq(targets.crashed(), 2);
+}
