Move the registry of gateways into its own class; write a lost own entry again

Found while moving: a gateway whose own entry was among what a restored store had lost kept it as "written" for ten seconds, so that a failed write of the new entry was not repeated. The own entry is now taken out at once.

--- a/source/core/kv/position.hpp
+++ b/source/core/kv/position.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 
 namespace kumquatgap::kv
@@ -20,7 +19,14 @@
     era in_era = 0;
     revision at = 0;
 
-    auto operator<=>(const position&) const = default;
+    bool operator==(const position&) const = default;
+    bool operator<(const position& it) const
+    {
+        return in_era != it.in_era ? in_era < it.in_era : at < it.at;
+    }
+    bool operator>(const position& it) const { return it < *this; }
+    bool operator<=(const position& it) const { return !(it < *this); }
+    bool operator>=(const position& it) const { return !(*this < it); }
 };
 
 } // namespace kumquatgap::kv
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -16,11 +16,6 @@
 namespace
 {
 
-/// Key prefix for the control addresses of the gateways, each written under a lease.
-constexpr std::string_view gateways_prefix = "kqg/gateways/";
-/// The entry of a stopped gateway expires after this time.
-constexpr milliseconds registration_ttl{10'000};
-constexpr milliseconds registration_period{3000};
 /// The time that the operators have to write their configuration again once the store has been
 /// restored.
 constexpr milliseconds rewrite_grace{2000};
@@ -47,7 +42,8 @@
       m_settings{settings}, m_gossip{{settings.host, settings.control_address},
                                      make_gossip_options(),
                                      std::random_device{}()},
-      m_bus{loop, [this](std::string_view bytes) { receive(bytes); }}
+      m_bus{loop, [this](std::string_view bytes) { receive(bytes); }},
+      m_registry{loop, source, settings.host, settings.control_address}
 {
 }
 
@@ -63,13 +59,14 @@
                                 [this]
                                 {
                                     m_targets.prune(common::now());
-                                    prune_gateways(common::now());
+                                    if (m_registry.prune(common::now()))
+                                        update_peers();
                                     execute_all(m_gossip.tick(common::now()));
                                 });
     // Deferred, since the response that shows the restore may itself end the watch.
     m_store.on_restored([this] { m_loop.defer([this] { handle_store_restored(); }); });
     execute_all(m_gossip.begin(common::now()));
-    register_self();
+    m_registry.register_self();
     return true;
 }
 
@@ -158,7 +155,7 @@
 {
     if (m_gossip.replica().era() < m_store.current_era())
         execute_all(m_gossip.store_restored(common::now()));
-    register_self();
+    m_registry.register_self();
 }
 
 void state_follower::handle_store_success()
@@ -239,13 +236,8 @@
         return;
     if (m_adapter.is_configuration(it.key))
         return adopt_configuration(it);
-    if (it.key.starts_with(gateways_prefix))
-    {
-        const auto name = it.key.substr(gateways_prefix.size());
-        m_gateway_addresses.insert_or_assign(name, it.value);
-        m_gateways_kept_until.erase(name);
-        return;
-    }
+    if (it.key.starts_with(gateway_registry::prefix))
+        return m_registry.handle_written(it.key.substr(gateway_registry::prefix.size()), it.value);
     if (it.key.starts_with(fleet::slowdown_prefix))
         return apply_slowdown(it);
     const auto id = m_adapter.target_id(it.key);
@@ -342,16 +334,14 @@
         m_slowdowns.erase(key.substr(fleet::slowdown_prefix.size()));
         return;
     }
-    if (key.starts_with(gateways_prefix))
-    {
-        remove_gateway(key.substr(gateways_prefix.size()), common::now());
-        return;
-    }
+    const auto now = common::now();
+    const auto outage_end = recent_outage_end(now);
+    if (key.starts_with(gateway_registry::prefix))
+        return m_registry.handle_removed(key.substr(gateway_registry::prefix.size()),
+                                         outage_end.has_value(), now);
     const auto id = m_adapter.target_id(key);
     if (id.empty())
         return;
-    const auto now = common::now();
-    const auto outage_end = recent_outage_end(now);
     common::log(common::log_level::info, "target_gone",
                 {{"target", id}, {"store_was_away", outage_end ? 1 : 0}});
     m_targets.remove(std::string{id}, now, outage_end);
@@ -379,32 +369,6 @@
     m_configuration = std::make_shared<const fleet::configuration>(std::move(found));
 }
 
-/// The shares of the gateways in what they use together depend on how many there are, so one whose
-/// entry may be written again is not taken out at once.
-void state_follower::remove_gateway(const std::string& name, common::timestamp now)
-{
-    if (recent_outage_end(now))
-        m_gateways_kept_until.insert_or_assign(name, now + registration_ttl);
-    else
-        m_gateway_addresses.erase(name);
-}
-
-/// Removes the gateways that have not written their entries again.
-void state_follower::prune_gateways(common::timestamp now)
-{
-    const auto has_ended = [now](const auto& it) { return it.second <= now; };
-    if (std::ranges::none_of(m_gateways_kept_until, has_ended))
-        return;
-    std::erase_if(m_gateway_addresses,
-                  [&](const auto& it)
-                  {
-                      const auto found = m_gateways_kept_until.find(it.first);
-                      return found != m_gateways_kept_until.end() && has_ended(*found);
-                  });
-    std::erase_if(m_gateways_kept_until, has_ended);
-    update_peers();
-}
-
 /// Within an era, an older version than the one in force is an error. A restored store may have an
 /// older one until the operators have written theirs again; what it has after that time, or what is
 /// written in the new era, is in force.
@@ -442,59 +406,8 @@
 
 void state_follower::update_peers()
 {
-    m_peers.clear();
-    for (const auto& [name, address] : m_gateway_addresses)
-    {
-        if (name != m_settings.host)
-            m_peers.push_back({name, address});
-    }
+    m_peers = m_registry.peers();
     m_gossip.set_peers(m_peers);
 }
 
-void state_follower::register_self()
-{
-    m_register_timer = m_loop.every(registration_period, [this] { register_self(); });
-    if (m_settings.control_address.empty())
-        return;
-    if (m_lease.granted_in != m_store.current_era())
-        m_lease = {};
-    if (m_lease)
-        return m_store.renew_lease(m_lease,
-                                   [this](const auto& response)
-                                   {
-                                       if (!response)
-                                           handle_registration_failure(response.error());
-                                   });
-    m_store.grant_lease(registration_ttl,
-                        [this](const auto& response)
-                        {
-                            if (!response)
-                                return handle_registration_failure(response.error());
-                            m_lease = response.value();
-                            write_registration();
-                        });
-}
-
-void state_follower::write_registration()
-{
-    const auto key = std::string{gateways_prefix} + m_settings.host;
-    m_store.write({{{}, {{key, m_settings.control_address, m_lease}}}},
-                  [this](const auto& response)
-                  {
-                      if (!response)
-                          handle_registration_failure(response.error());
-                  });
-}
-
-/// Drops the lease if it has ended or the entry was never written, so that a new one is requested.
-/// After any other failure the entry still exists, and the next renewal retries.
-void state_follower::handle_registration_failure(const failure& why)
-{
-    common::log(common::log_level::warn, "registration_failed",
-                {{"code", common::number(why.code)}, {"detail", why.detail}});
-    const bool is_written = m_gateway_addresses.contains(m_settings.host);
-    if (why.code == common::result_code::not_found || !is_written)
-        m_lease = {};
-}
-
 } // namespace kumquatgap::gateway
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -3,6 +3,7 @@
 #include "fleet/configuration.hpp"
 #include "fleet/target_table.hpp"
 #include "gateway/entry_change.hpp"
+#include "gateway/gateway_registry.hpp"
 #include "gateway/protocol_adapter.hpp"
 #include "io/control_bus.hpp"
 #include "io/event_loop.hpp"
@@ -74,16 +75,11 @@
     bool notify_entry_handler(const std::string& key, entry_change what);
     void apply_written(const kv::key_value& it);
     void apply_removed(const std::string& key, entry_change how);
-    void remove_gateway(const std::string& name, common::timestamp now);
-    void prune_gateways(common::timestamp now);
     void adopt_configuration(const kv::key_value& it);
     bool may_adopt(const fleet::configuration& found, const kv::key_value& it);
     void adopt_older_configuration(const std::string& key);
     void put_in_force(fleet::configuration found, kv::revision revision);
     void update_peers();
-    void register_self();
-    void write_registration();
-    void handle_registration_failure(const common::failure& why);
 
     io::event_loop& m_loop;
     kv::store& m_store;
@@ -91,6 +87,7 @@
     shell::common_settings m_settings;
     membership::gossip_node m_gossip;
     io::control_bus m_bus;
+    gateway_registry m_registry;
     std::uint64_t m_applied_version = 0;
     /// The position of each item that was applied last.
     std::map<std::string, kv::position> m_applied_positions;
@@ -99,16 +96,10 @@
     fleet::target_table m_targets;
     /// Slowdown by address.
     std::map<std::string, double> m_slowdowns;
-    /// Control address by gateway name, this gateway included.
-    std::map<std::string, std::string> m_gateway_addresses;
-    /// Until when a gateway is kept whose entry may have ended only because the store was away or
-    /// was restored.
-    std::map<std::string, common::timestamp> m_gateways_kept_until;
     std::vector<membership::peer> m_peers;
     std::function<void()> m_on_change;
     std::map<std::string, std::function<void(const std::string&, entry_change)>> m_entry_handlers;
     std::unique_ptr<kv::watch> m_watch;
-    kv::lease m_lease;
     bool m_store_is_lost = false;
     common::timestamp m_store_recovered_at;
     /// When the store last responded, and when the current configuration was adopted.
@@ -118,7 +109,6 @@
     /// Set while the restored store has an older configuration than the one in force.
     io::timer_handle m_older_configuration_timer;
     io::timer_handle m_tick_timer;
-    io::timer_handle m_register_timer;
 };
 
 } // namespace kumquatgap::gateway
--- a/tests/platform/gateway_restored_store_test.cpp
+++ b/tests/platform/gateway_restored_store_test.cpp
@@ -42,6 +42,18 @@
         deployment.store().put("servers/odd", common::concat("not json ", i));
 }
 
+/// The store loses configuration 9, which lacks the key of the calls; returns that configuration.
+nlohmann::json lose_configuration_without_key(gateway_deployment& deployment)
+{
+    begin_with_copy(deployment, 1);
+    auto newer = deployment.config(9);
+    newer["tenants"][0]["apiKeys"] = {"key-2"};
+    deployment.put_config(newer);
+    cr_assert(log_shows(deployment, "configuration_in_force version=9"));
+    deployment.store().restore();
+    return newer;
+}
+
 } // namespace
 
 /// Gateways compared the revisions of two histories and took no change until the end.
@@ -77,12 +89,7 @@
 Test(gateway_restored_store, older_configuration_of_copy_waits_for_rewrite)
 {
     gateway_deployment deployment;
-    begin_with_copy(deployment, 1);
-    auto newer = deployment.config(9);
-    newer["tenants"][0]["apiKeys"] = {"key-2"};
-    deployment.put_config(newer);
-    cr_assert(log_shows(deployment, "configuration_in_force version=9"));
-    deployment.store().restore();
+    const auto newer = lose_configuration_without_key(deployment);
     cr_assert(log_shows(deployment, "older_configuration_restored version=5"));
     cr_assert_eq(call_once(deployment), "401");
     deployment.put_config(newer);
@@ -97,12 +104,7 @@
 Test(gateway_restored_store, configuration_of_copy_is_in_force_if_not_rewritten)
 {
     gateway_deployment deployment;
-    begin_with_copy(deployment, 1);
-    auto newer = deployment.config(9);
-    newer["tenants"][0]["apiKeys"] = {"key-2"};
-    deployment.put_config(newer);
-    cr_assert(log_shows(deployment, "configuration_in_force version=9"));
-    deployment.store().restore();
+    lose_configuration_without_key(deployment);
     cr_assert(deployment.wait_until([&] { return call_once(deployment) == "t-0"; }));
 }
 
