Probe a lost target only when calls wait for the result

gateway_answers_test safe_call_retried_at_only_target_after_connection_reset failed on: each lost call to a plain service sent a health check to its target, which saw a third request. A target whose answer had begun is probed at once, as before; others when a request is held after its second loss, by each gateway for the targets that it has lost, and each target once.

--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace kumquatgap::gateway
 {
@@ -60,7 +61,9 @@
 void crash_guard::record_lost(const lost_call& it, timestamp now)
 {
     const auto key = key_of(it.target);
-    if (m_lost.try_emplace(key, it.target.id, it.target.started_at).second)
+    const auto [lost, is_new] =
+        m_lost.try_emplace(key, lost_target{it.target, it.health_path, false});
+    if (is_new)
         common::log(common::log_level::info, "target_lost",
                     {{"target", it.target.id},
                      {"started_at", it.target.started_at},
@@ -76,18 +79,39 @@
     if (!is_being_answered)
         return;
     m_requests.attribution().record_lost(key, it.marks.request, it.is_group, now);
-    if (!m_probes.contains(key))
-        probe(it.target, it.health_path);
+    if (it.has_head)
+        probe(lost->second);
 }
 
-void crash_guard::probe(const fleet::target& it, const std::string& health_path)
+/// The targets of crashes that are not confirmed yet, by their keys.
+std::vector<std::string> crash_guard::unconfirmed() const
 {
-    io::http_request request{"GET", health_path.empty() ? "/" : health_path, {}, {}, {}};
-    request.headers = m_adapter.target_request_headers(request, {it.id, {}, probe_timeout, {}});
-    request.headers.add("Host", it.address);
-    const auto key = key_of(it);
+    auto out = m_parts.attribution().unconfirmed();
+    const auto by_requests = m_requests.attribution().unconfirmed();
+    out.insert(out.end(), by_requests.begin(), by_requests.end());
+    return out;
+}
+
+void crash_guard::probe_unconfirmed()
+{
+    for (const auto& key : unconfirmed())
+    {
+        if (const auto it = m_lost.find(key); it != m_lost.end())
+            probe(it->second);
+    }
+}
+
+void crash_guard::probe(lost_target& it)
+{
+    if (std::exchange(it.is_probed, true))
+        return;
+    const auto key = key_of(it.target);
+    io::http_request request{"GET", it.health_path.empty() ? "/" : it.health_path, {}, {}, {}};
+    request.headers =
+        m_adapter.target_request_headers(request, {it.target.id, {}, probe_timeout, {}});
+    request.headers.add("Host", it.target.address);
     m_probes[key].call = m_client.send(
-        it.address, request,
+        it.target.address, request,
         {.on_end = [this, key](io::call_outcome how, const io::http_response& response)
          { handle_probe(key, how, response); }},
         {.connect_timeout = probe_timeout,
@@ -179,14 +203,12 @@
 /// Confirms the crashes of targets that another start has replaced or whose entry has ended.
 void crash_guard::confirm_replaced(const fleet::target_table& targets, timestamp now)
 {
-    auto unconfirmed = m_parts.attribution().unconfirmed();
-    const auto requests = m_requests.attribution().unconfirmed();
-    unconfirmed.insert(unconfirmed.end(), requests.begin(), requests.end());
-    std::erase_if(m_lost, [&](const auto& it)
-                  { return std::ranges::find(unconfirmed, it.first) == unconfirmed.end(); });
+    const auto open = unconfirmed();
+    std::erase_if(m_lost,
+                  [&](const auto& it) { return std::ranges::find(open, it.first) == open.end(); });
     for (const auto& [key, it] : m_lost)
     {
-        if (!targets.is_registered(it.first, it.second, now))
+        if (!targets.is_registered(it.target.id, it.target.started_at, now))
             record_gone(key, now);
     }
 }
@@ -207,6 +229,9 @@
 {
     std::erase_if(m_probes, [](const auto& it) { return it.second.has_ended; });
     confirm_replaced(targets, now);
+    // Calls are held until it is known whether their targets are gone.
+    if (m_requests.attribution().suspect_count() > 0)
+        probe_unconfirmed();
     m_parts.tick(now, draw, broadcast_interval);
     m_requests.tick(now, draw, broadcast_interval);
 }
--- a/source/gateway/crash_guard.hpp
+++ b/source/gateway/crash_guard.hpp
@@ -13,7 +13,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace kumquatgap::gateway
@@ -61,8 +60,8 @@
                                const std::vector<std::string>& prompt_parts);
 
     /// The connection to a target was lost before the first event of a call. The target is probed
-    /// at its health path if it had begun to answer or the call could run again, since without
-    /// other calls nothing would show for seconds whether it is gone.
+    /// at its health path if it had begun to answer, or once calls are held because of the loss:
+    /// without other calls nothing would show for seconds whether it is gone.
     void record_lost(const lost_call& it, timestamp now);
     void record_gone(const fleet::target& it, timestamp now);
     /// A stream has got its first event, after these times, or the response of a call is complete.
@@ -92,7 +91,17 @@
     void write_metrics(common::metrics& m) const;
 
 private:
-    void probe(const fleet::target& it, const std::string& health_path);
+    /// A target of a recent crash.
+    struct lost_target
+    {
+        fleet::target target;
+        std::string health_path;
+        bool is_probed = false;
+    };
+
+    void probe(lost_target& it);
+    void probe_unconfirmed();
+    std::vector<std::string> unconfirmed() const;
     void handle_probe(const std::string& key, io::call_outcome how,
                       const io::http_response& response);
     void confirm_replaced(const fleet::target_table& targets, timestamp now);
@@ -108,8 +117,8 @@
     const protocol_adapter& m_adapter;
     quarantine m_parts;
     quarantine m_requests;
-    /// Id and start of the targets of recent crashes, by their keys in the attribution.
-    std::map<std::string, std::pair<std::string, std::int64_t>> m_lost;
+    /// By their keys in the attribution.
+    std::map<std::string, lost_target> m_lost;
     /// By the same keys.
     std::map<std::string, open_probe> m_probes;
     std::uint64_t m_broadcast_version = 0;
