--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -40,7 +40,7 @@
 crash_guard::crash_guard(kv::store& store, io::http_client& client, const protocol_adapter& adapter,
                          std::string gateway)
     : m_client{client}, m_adapter{adapter}, m_parts{quarantine_kind::prompt_part, store, gateway},
-      m_requests{quarantine_kind::request, store, gateway}
+      m_requests{quarantine_kind::request, store, std::move(gateway)}
 {
 }
 
--- a/source/gateway/quarantine.cpp
+++ b/source/gateway/quarantine.cpp
@@ -150,9 +150,10 @@
 
 void quarantine::handle_entry(const std::string& item, entry_change what, timestamp now)
 {
-    static constexpr auto events = std::to_array<std::string_view>(
+    static constexpr auto s_events = std::to_array<std::string_view>(
         {"quarantine_stored", "quarantine_ended", "quarantine_lost"});
-    common::log(common::log_level::info, events[static_cast<std::size_t>(what)], {{"part", item}});
+    common::log(common::log_level::info, s_events[static_cast<std::size_t>(what)],
+                {{"part", item}});
     m_unsaved.erase(item);
     if (what == entry_change::written)
         m_attribution.adopt(item, now);
