Keep targets for their grace when peers tell of a restore first

Found by reading the change. A gateway that hears of a restored store from another one before its own watch has ended, for example while the store does not answer it, dropped the targets at once that the copy does not have, although they serve and write their entries again; their calls got 503. The restore now counts as the end of an outage for it as well.

--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -196,6 +196,9 @@
     const auto& items = m_gossip.replica().items();
     const auto removal =
         m_gossip.replica().era() == m_applied_era ? entry_change::removed : entry_change::lost;
+    // Another gateway may have told of the restore before this one has met it.
+    if (removal == entry_change::lost)
+        m_store_recovered_at = common::now();
     for (const auto& [key, it] : items)
     {
         const kv::position written_at{m_gossip.replica().era(), it.mod_revision};
--- a/tests/platform/gateway_restored_store_test.cpp
+++ b/tests/platform/gateway_restored_store_test.cpp
@@ -122,6 +122,23 @@
     cr_assert(log_shows(deployment, "configuration_in_force version=7", 1));
 }
 
+/// The entry of a target was missing in the copy that peers told of, and it got no calls at once.
+Test(gateway_restored_store, target_that_peers_report_lost_is_kept_for_grace)
+{
+    gateway_deployment deployment{2, true};
+    deployment.put_config(deployment.config(5));
+    cr_assert(deployment.wait_ready(0) && deployment.wait_ready(1));
+    deployment.run_for(common::milliseconds{1500});
+    deployment.store().take_copy();
+    deployment.add_target("t-1", "plain", respond_with("t-1"));
+    cr_assert(log_shows(deployment, "target_learnt target=t-1", 1));
+    deployment.store_relay(1).set_mood(failures::relay_mood::holds);
+    deployment.store().restore();
+    deployment.put_config(deployment.config(7));
+    cr_assert(log_shows(deployment, "configuration_in_force version=7", 1));
+    cr_assert_eq(call_once(deployment, 1), "t-1");
+}
+
 /// The entry of a gateway is under a lease that the restored store may not have.
 Test(gateway_restored_store, gateway_registers_again)
 {
