Release held requests when a probe shows nothing

Found by reading: after two lost connections a request was held until the evidence expired after 5 s if its targets did not answer their health checks, so repeats were refused although the targets serve. Only a target that has ended proves a crash by a request; a silent one does not. gateway_deadly_request_test request_is_served_when_its_targets_prove_to_be_there fails with the gateway before; three of three runs of all seven cases pass after.

--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -131,11 +131,11 @@
                  {"is_gone", is_gone ? 1 : 0}});
     if (is_gone)
         record_gone(key, common::now());
-    else if (how == io::call_outcome::complete)
-    {
-        m_parts.attribution().record_alive(key);
+    else
+        // A target that does not answer has not ended, so no call waits for it any longer.
         m_requests.attribution().record_alive(key);
-    }
+    if (!is_gone && how == io::call_outcome::complete)
+        m_parts.attribution().record_alive(key);
     if (const auto it = m_probes.find(key); it != m_probes.end())
         it->second.has_ended = true;
 }
--- a/tests/platform/gateway_deadly_request_test.cpp
+++ b/tests/platform/gateway_deadly_request_test.cpp
@@ -170,6 +170,32 @@
     cr_assert_eq(targets.crashed(), before);
 }
 
+/// Two lost connections of one request were taken for crashes until 5 s later, while the targets
+/// only did not answer their health checks.
+Test(gateway_deadly_request, request_is_served_when_its_targets_prove_to_be_there)
+{
+    gateway_deployment deployment;
+    int resets = 0;
+    for (const auto* id : {"t-0", "t-1"})
+        deployment.add_target(id, "plain",
+                              [&](const io::http_request& request, const reply& out)
+                              {
+                                  constexpr int lost = 2;
+                                  if (request.path == "/health")
+                                      return;
+                                  if (resets < lost)
+                                  {
+                                      ++resets;
+                                      return out.reset();
+                                  }
+                                  out.write(whole_answer(request, 200, "done"));
+                              });
+    deployment.put_config(deployment.config(5));
+    cr_assert(deployment.wait_ready());
+    cr_assert_neq(deployment.call(deployment.request("/read/x", "r1")).answer.status, 200);
+    cr_assert_eq(deployment.call(deployment.request("/read/x", "r2")).answer.status, 200);
+}
+
 /// A request that met a crash by accident is served elsewhere, and may be sent again.
 Test(gateway_deadly_request, request_that_met_one_crash_is_served)
 {
