--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -73,8 +73,9 @@
                      {"request", absl::StrJoin(it.marks.request, ",")}});
     m_parts.attribution().record_lost(key, it.marks.parts, it.has_head, now,
                                       it.marks.request.front());
-    // A call may have met a crash by accident, so it gets another attempt; not in a group, where
-    // the next crash would take all of it down. There, calls that wait are none the less many.
+    // A request may have met a crash by accident, so it gets another attempt. In a group, whose
+    // ranks all fail with the next crash, the one that was being answered does not, and those that
+    // only waited are too many to be suspected.
     const bool is_being_answered = it.has_head || !it.is_group;
     if (!is_being_answered)
         return;
