--- a/source/unit_tests/config/fuzz_resource_write.cpp
+++ b/source/unit_tests/config/fuzz_resource_write.cpp
@@ -46,7 +46,7 @@
                        {{"member", "a"}, {"token_sha256", std::string(64, 'a')}},
                        0,
                        ""}})
-            m_store.write({{}, {{key_of(it.type, it.name), serialize(it), 0}}});
+            m_store.write({{}, {{key_of(it.type, it.name), serialize(it)}}});
     }
 
     void step(std::size_t k, std::uint32_t a, std::uint32_t b)
--- a/source/unit_tests/ledger/fuzz_ledger.cpp
+++ b/source/unit_tests/ledger/fuzz_ledger.cpp
@@ -142,7 +142,7 @@
     {
         kv::transaction write;
         write.guards.push_back({store_key(m_attempts[n].key), it.expected});
-        write.writes.push_back({store_key(m_attempts[n].key), ledger::serialize(it.value), 0});
+        write.writes.push_back({store_key(m_attempts[n].key), ledger::serialize(it.value)});
         m_requests.push_back({n, std::move(write), std::nullopt, true});
     }
     void perform(std::size_t n, const ledger::retry_write& it)
