--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -194,8 +194,9 @@
         return;
     m_applied_version = m_gossip.replica().version();
     const auto& items = m_gossip.replica().items();
+    const auto era = m_gossip.replica().era();
     const auto removal =
-        m_gossip.replica().era() == m_applied_era ? entry_change::removed : entry_change::lost;
+        m_applied_era.value_or(era) == era ? entry_change::removed : entry_change::lost;
     // Another gateway may have told of the restore before this one has met it.
     if (removal == entry_change::lost)
         m_store_recovered_at = common::now();
@@ -216,7 +217,7 @@
         apply_removed(it->first, removal);
         it = m_applied_positions.erase(it);
     }
-    m_applied_era = m_gossip.replica().era();
+    m_applied_era = era;
     update_peers();
     if (m_on_change)
         m_on_change();
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -91,7 +91,7 @@
     std::uint64_t m_applied_version = 0;
     /// The position of each item that was applied last.
     std::map<std::string, kv::position> m_applied_positions;
-    kv::era m_applied_era = 0;
+    std::optional<kv::era> m_applied_era;
     std::shared_ptr<const fleet::configuration> m_configuration;
     fleet::target_table m_targets;
     /// Slowdown by address.
