--- a/source/rank_agent/leadership.cpp
+++ b/source/rank_agent/leadership.cpp
@@ -104,10 +104,10 @@
 }
 
 /// True while a leader of the era before may still hold a lease that the store no longer knows. A
-/// process that has just started can't tell whether there was such an era.
+/// process that has just started can't tell when that era ended; the first era has none before it.
 bool leadership::may_former_leader_be_active(timestamp now) const
 {
-    return now < m_store.era_since() + lease_ttl;
+    return m_store.current_era() > 1 && now < m_store.era_since() + lease_ttl;
 }
 
 /// Reads who leads. A stale result does little harm once: a failed campaign, or a short time with
