Wait for the controller's key after a restore before it is judged

rank_agents_test switch_after_store_restored failed in one of the runs of all tests on, and in two of four alone: the switches of the test are done in under half a second now that agents do not wait in the first era, and the leader writes its key again with its next renewal. The test looked before that and found no leader. It still demands that the first holder afterwards is the leader of before.

--- a/tests/platform/rank_agents_test.cpp
+++ b/tests/platform/rank_agents_test.cpp
@@ -263,7 +263,9 @@
     cr_assert(deployment.switches_to_new_map());
     cr_assert(deployment.switches_to_new_map());
     deployment.check_consistent();
-    // The leader of before goes on, so that no switch waits for an election.
+    // The leader of before goes on, so that no switch waits for an election. It writes its key
+    // again with its next renewal.
+    cr_assert(deployment.wait_until([&] { return deployment.leader() < ranks; }));
     cr_assert_eq(deployment.leader(), leader);
 }
 
