--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -197,7 +197,7 @@
     const auto era = m_gossip.replica().era();
     const auto removal =
         m_applied_era.value_or(era) == era ? entry_change::removed : entry_change::lost;
-    // Another gateway may have told of the restore before this one has met it.
+    // The snapshot of another gateway may show the restore before this gateway's own watch does.
     if (removal == entry_change::lost)
         m_store_recovered_at = common::now();
     for (const auto& [key, it] : items)
--- a/tests/platform/gateway_restored_store_test.cpp
+++ b/tests/platform/gateway_restored_store_test.cpp
@@ -77,7 +77,7 @@
     begin_with_copy(deployment, 1);
     cr_assert(log_shows(deployment, "target_learnt target=t-0"));
     deployment.run_for(common::milliseconds{200});
-    deployment.store().restore();
+    deployment.store().restore(false);
     // Takes the revisions of the lost change and more, at once.
     deployment.put_config(deployment.config(9));
     deployment.store().put("servers/odd", "not json");
--- a/tests/stand_ins/platform_store.cpp
+++ b/tests/stand_ins/platform_store.cpp
@@ -106,10 +106,12 @@
                   body.dump()});
 }
 
-void platform_store::restore()
+void platform_store::restore(bool cuts_watches)
 {
     m_state = m_copy;
     ++m_era;
+    if (!cuts_watches)
+        return;
     for (auto& it : m_watches)
         reply(*it.answer, 410);
     m_watches.clear();
--- a/tests/stand_ins/platform_store.hpp
+++ b/tests/stand_ins/platform_store.hpp
@@ -51,8 +51,8 @@
     /// Keeps a copy of all keys and leases, which restore() goes back to.
     void take_copy() { m_copy = m_state; }
     /// Loses what was written since the copy was taken, and gives out its revisions and lease ids
-    /// again, in a new era. Watches that wait are cut.
-    void restore();
+    /// again, in a new era. Watches that wait are cut, or go on if `cuts_watches` is false.
+    void restore(bool cuts_watches = true);
     std::int64_t era() const { return m_era; }
     std::int64_t revision() const { return m_state.revision; }
     std::uint64_t calls() const { return m_calls; }
