Log each decision on a retry, with the budget it was based on

Lines retry_granted and retry_refused have the retries and calls that count, what is allowed and for how many gateways; a call whose refusals follow each other has one. kqg_retries_in_window is new.

A gateway that starts at 11.61 s decides at 11.62 s with retries=1 allowed=19 calls=2 gateways=4: it knows the others, so hypothesis 2 is out, and has forgotten 27 to 33 retries and 130 to 144 calls of its life before, so hypothesis 1 stands.

--- a/source/core/policy/windowed_retry_budget.cpp
+++ b/source/core/policy/windowed_retry_budget.cpp
@@ -33,15 +33,13 @@
     return true;
 }
 
-double windowed_retry_budget::left(const std::string& service, timestamp now) const
+retry_budget_state windowed_retry_budget::state(const std::string& service, timestamp now) const
 {
     const auto found = m_services.find(service);
-    if (found == m_services.end())
-        return allowed({});
-    auto it = found->second;
+    auto it = found == m_services.end() ? counts{} : found->second;
     drop_old(it.calls, now);
     drop_old(it.retries, now);
-    return allowed(it) - static_cast<double>(it.retries.size());
+    return {it.calls.size(), it.retries.size(), allowed(it), m_gateways};
 }
 
 } // namespace kumquatgap::policy
--- a/source/core/policy/windowed_retry_budget.hpp
+++ b/source/core/policy/windowed_retry_budget.hpp
@@ -26,6 +26,18 @@
     double used_fraction = 0.8;
 };
 
+/// What a decision on a retry was based on.
+struct retry_budget_state
+{
+    /// Calls and retries in the window that ends now.
+    std::size_t calls = 0;
+    std::size_t retries = 0;
+    /// The retries that are allowed in that window.
+    double allowed = 0;
+    /// The number of gateways that the allowance is shared with, this one included.
+    std::size_t gateways = 1;
+};
+
 /// One gateway's share of the retries that all gateways may send to a service, over a sliding
 /// window. Load pattern: callers and targets that fail in waves, while gateways start and stop and
 /// may not know of each other. Each gateway gets retries in proportion to the calls that it has
@@ -42,8 +54,7 @@
     void record_call(const std::string& service, timestamp now);
     /// Takes one retry out of the budget; false when it is used up.
     bool take(const std::string& service, timestamp now);
-    /// The number of retries that are left now.
-    double left(const std::string& service, timestamp now) const;
+    retry_budget_state state(const std::string& service, timestamp now) const;
 
 private:
     struct counts
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace kumquatgap::gateway
 {
@@ -342,7 +343,29 @@
     if (m_deadline - now < min_time_for_retry || !m_attempts.may_retry())
         return false;
     // A call that was not sent put no load on the target, so it needs no retry from the budget.
-    return last == attempt_outcome::not_sent || m_gateway.retry_budget().take(m_service, now);
+    if (last == attempt_outcome::not_sent)
+        return true;
+    const bool is_granted = m_gateway.retry_budget().take(m_service, now);
+    // A stalled call asks again at each check of its timeouts.
+    if (is_granted || !m_retry_refused)
+        log_retry_decision(is_granted, last, now);
+    m_retry_refused = !is_granted;
+    return is_granted;
+}
+
+void exchange::log_retry_decision(bool is_granted, attempt_outcome last, timestamp now) const
+{
+    const auto budget = m_gateway.retry_budget().state(m_service, now);
+    m_gateway.failure_log().write(common::log_level::info,
+                                  is_granted ? "retry_granted" : "retry_refused",
+                                  {{"id", m_caller.id},
+                                   {"service", m_service},
+                                   {"after", fleet::name_of(last)},
+                                   {"retries", budget.retries},
+                                   {"allowed", std::llround(budget.allowed)},
+                                   {"calls", budget.calls},
+                                   {"gateways", budget.gateways}},
+                                  now);
 }
 
 /// True when a target's error response can be forwarded; a started stream can only be cut off.
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -58,6 +58,7 @@
     /// True when another attempt may succeed; clears m_tried if all targets may be tried again.
     bool has_retry_target(fleet::attempt_outcome last);
     bool claim_retry(fleet::attempt_outcome last);
+    void log_retry_decision(bool is_granted, fleet::attempt_outcome last, timestamp now) const;
     void pause_service(const attempt& it);
     bool may_crash_target() const;
     void withdraw(timestamp now);
@@ -116,6 +117,8 @@
     std::int64_t m_last_event_number = -1;
     std::int64_t m_event_count = 0;
     bool m_is_queued = false;
+    /// The last retry that this call asked for was refused.
+    bool m_retry_refused = false;
     bool m_ended = false;
 };
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -187,7 +187,10 @@
         const auto set = [&](std::string_view what, std::int64_t value)
         { m_metrics.set(common::concat(what, "{service=\"", name, "\"}"), value); };
         set("kqg_calls_waiting", static_cast<std::int64_t>(state.queue.size()));
-        set("kqg_retries_left", static_cast<std::int64_t>(m_retry_budget.left(name, now)));
+        const auto retries = m_retry_budget.state(name, now);
+        set("kqg_retries_in_window", static_cast<std::int64_t>(retries.retries));
+        set("kqg_retries_left",
+            static_cast<std::int64_t>(retries.allowed - static_cast<double>(retries.retries)));
         set("kqg_service_held", now < state.paused_until ? 1 : 0);
         if (!state.latency.has_engine())
             continue;
