Share the retry budget of a window among the gateways, across their restarts

Cause: the window is the service's, but each process counted only what it had sent itself. One that started had an unused share of what is allowed beyond the ratio, as often as it started. Class: a limit over a window that is kept in memory which does not live as long as the window.

Evidence: retry_granted retries=1 allowed=19 calls=2 gateways=4 10 ms after a start, after 27 to 33 retries of the run before. Ruled out by the same lines: that it did not know the other gateways.

Change: gateways report calls and retries by half seconds to each other while something was retried or a gateway has started, and to one that has started also those of runs that have ended. Each decides on the sum. Between two reports each may take an equal share of what is left, since the others may do the same. The part of extra of a gateway that is not heard is left out, and all of it while the window is not wholly known; a store without an entry of a gateway shows that none has run, for which entries last 14 s instead of 10.

--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -6,7 +6,6 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace kumquatgap::gateway
 {
@@ -21,8 +20,6 @@
 constexpr int first_server_error = 500;
 /// The least part of a latency goal left for queueing: a slow engine alone makes no call late.
 constexpr milliseconds min_slack{60};
-/// A call with less time left than this is not retried.
-constexpr milliseconds min_time_for_retry{60};
 /// For how long no call is sent to a group that has a failed member.
 constexpr milliseconds group_pause{250};
 /// When more than this is unsent because the caller reads slowly, reading from the target pauses.
@@ -328,46 +325,6 @@
     fail(if_unknown, fleet::name_of(outcome).data());
 }
 
-bool exchange::has_retry_target(attempt_outcome last)
-{
-    const auto next = fleet::next_target_after(
-        last, m_gateway.targets().usable(m_service, common::now()), m_tried);
-    if (next == fleet::next_target::any)
-        m_tried.clear();
-    return next != fleet::next_target::none;
-}
-
-bool exchange::claim_retry(attempt_outcome last)
-{
-    const auto now = common::now();
-    if (m_deadline - now < min_time_for_retry || !m_attempts.may_retry())
-        return false;
-    // A call that was not sent put no load on the target, so it needs no retry from the budget.
-    if (last == attempt_outcome::not_sent)
-        return true;
-    const bool is_granted = m_gateway.retry_budget().take(m_service, now);
-    // A stalled call asks again at each check of its timeouts.
-    if (is_granted || !m_retry_refused)
-        log_retry_decision(is_granted, last, now);
-    m_retry_refused = !is_granted;
-    return is_granted;
-}
-
-void exchange::log_retry_decision(bool is_granted, attempt_outcome last, timestamp now) const
-{
-    const auto budget = m_gateway.retry_budget().state(m_service, now);
-    m_gateway.failure_log().write(common::log_level::info,
-                                  is_granted ? "retry_granted" : "retry_refused",
-                                  {{"id", m_caller.id},
-                                   {"service", m_service},
-                                   {"after", fleet::name_of(last)},
-                                   {"retries", budget.retries},
-                                   {"allowed", std::llround(budget.allowed)},
-                                   {"calls", budget.calls},
-                                   {"gateways", budget.gateways}},
-                                  now);
-}
-
 /// True when a target's error response can be forwarded; a started stream can only be cut off.
 bool exchange::has_fallback_response() const
 {
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -76,8 +76,9 @@
       m_load_broadcast{loop, m_settings.common.host, m_settings.common.deployment_token,
                        [this](const std::string& peer, const peer_state& it)
                        { handle_peer_state(peer, it); }},
-      m_retry_budget{m_settings.retries}, m_crash_guard{store, client, adapter,
-                                                        m_settings.common.host},
+      m_retry_budget{
+          m_settings.retries, {m_settings.common.host, std::random_device{}()}, common::now()},
+      m_crash_guard{store, client, adapter, m_settings.common.host},
       m_success_log{"answered", success_lines_per_second}, m_failure_log{"refused_or_failed",
                                                                          failure_lines_per_second},
       m_server{loop,
@@ -143,6 +144,16 @@
         m_follower.note_rate_limit(id, limit, peer);
     m_rate_limiter.update_peer_sends(peer, it.sends, now);
     m_crash_guard.merge({it.crashes, it.request_crashes}, now);
+    if (it.retries)
+        m_retry_budget.merge(peer, *it.retries, now);
+    report_started_gateway(now);
+}
+
+/// A gateway that has started can use the retry budget only once the others have answered it.
+void gateway::report_started_gateway(timestamp now)
+{
+    if (m_retry_budget.has_update() && m_load_broadcast.is_due(m_follower.peers().size(), now))
+        broadcast_state(now);
 }
 
 void gateway::apply_target_notices(const fleet::target& it, const target_response& head)
@@ -188,9 +199,9 @@
         { m_metrics.set(common::concat(what, "{service=\"", name, "\"}"), value); };
         set("kqg_calls_waiting", static_cast<std::int64_t>(state.queue.size()));
         const auto retries = m_retry_budget.state(name, now);
-        set("kqg_retries_in_window", static_cast<std::int64_t>(retries.retries));
-        set("kqg_retries_left",
-            static_cast<std::int64_t>(retries.allowed - static_cast<double>(retries.retries)));
+        set("kqg_retries_in_window", retries.retries);
+        set("kqg_retries_left", static_cast<std::int64_t>(retries.left()));
+        set("kqg_retries_known_ms", retries.known.count());
         set("kqg_service_held", now < state.paused_until ? 1 : 0);
         if (!state.latency.has_engine())
             continue;
@@ -334,7 +345,8 @@
                    .crashes = std::move(evidence.parts),
                    .limits = {},
                    .sends = m_rate_limiter.to_broadcast(targets().limited(), now),
-                   .request_crashes = std::move(evidence.requests)};
+                   .request_crashes = std::move(evidence.requests),
+                   .retries = m_retry_budget.next_report(now)};
     // Each answer of a target confirms its limit, which is no reason to send all limits again.
     if (now - m_limits_sent_at >= limits_broadcast_period)
         own.limits = targets().limits_to_broadcast(now);
@@ -394,7 +406,13 @@
 
 void gateway::handle_state_change()
 {
-    m_retry_budget.set_gateways(m_follower.peers().size() + 1);
+    std::set<std::string> peers;
+    std::ranges::transform(m_follower.peers(), std::inserter(peers, peers.end()),
+                           [](const auto& it) { return it.name; });
+    m_retry_budget.set_peers(std::move(peers));
+    if (const auto since = m_follower.no_gateway_since())
+        m_retry_budget.set_known_since(*since);
+    report_started_gateway(common::now());
     if (const auto c = configuration())
     {
         m_server.set_limits(to_http_limits(c->limits));
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -131,6 +131,7 @@
     bool is_own_trial_turn(const call_marks& marks, timestamp now) const;
     void tick();
     void broadcast_state(timestamp now);
+    void report_started_gateway(timestamp now);
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
     void update_latency_model(const std::string& name, service_state& state, timestamp now);
     void handle_state_change();
--- a/source/gateway/gateway_registry.cpp
+++ b/source/gateway/gateway_registry.cpp
@@ -16,8 +16,12 @@
 {
 
 /// The entry of a stopped gateway expires after this time.
-constexpr milliseconds registration_ttl{10'000};
+constexpr milliseconds registration_ttl{14'000};
 constexpr milliseconds registration_period{3000};
+/// The longest time that a renewal takes to reach the store.
+constexpr milliseconds renewal_time{1000};
+static_assert(registration_ttl - registration_period - renewal_time ==
+              gateway_registry::absence_without_entry);
 
 } // namespace
 
--- a/source/gateway/gateway_registry.hpp
+++ b/source/gateway/gateway_registry.hpp
@@ -22,6 +22,9 @@
     /// The keys of the entries are this prefix and the name of a gateway.
     static constexpr std::string_view prefix = "kqg/gateways/";
 
+    /// A gateway without an entry has not run for at least this long.
+    static constexpr common::milliseconds absence_without_entry{10'000};
+
     /// `address` is empty for a gateway that the others can't reach, which is not registered.
     gateway_registry(io::event_loop& loop, kv::store& store, std::string name, std::string address);
 
--- a/source/gateway/load_broadcast.cpp
+++ b/source/gateway/load_broadcast.cpp
@@ -36,9 +36,13 @@
 bool load_broadcast::send(const std::vector<membership::peer>& to, const peer_state& own,
                           common::timestamp now)
 {
-    if (own == m_last_sent && (own.empty() || now - m_sent_at < resend_after))
+    // A report on retries is sent once, so it makes no other message repeat the state.
+    auto lasting = own;
+    lasting.retries.reset();
+    if (!own.retries && lasting == m_last_sent &&
+        (lasting.empty() || now - m_sent_at < resend_after))
         return false;
-    m_last_sent = own;
+    m_last_sent = std::move(lasting);
     m_sent_at = now;
     const auto bytes = to_bytes({m_name, own}, m_token, now);
     // Logged once: such messages come in series.
--- a/source/gateway/peer_message.cpp
+++ b/source/gateway/peer_message.cpp
@@ -116,6 +116,81 @@
     return out;
 }
 
+/// The age of the newest slot, then the calls and retries of each, without the empty oldest ones.
+json to_json(const policy::service_usage& it, timestamp now)
+{
+    auto out = json::array({(now - it.front().start).count()});
+    std::size_t used = 1;
+    for (const auto& slot : it)
+    {
+        out.push_back(slot.calls);
+        out.push_back(slot.retries);
+        if (slot.calls != 0 || slot.retries != 0)
+            used = out.size();
+    }
+    out.erase(out.begin() + static_cast<json::difference_type>(used), out.end());
+    return out;
+}
+
+json to_json(const policy::run_usage& it, timestamp now)
+{
+    auto services = json::object();
+    for (const auto& [service, usage] : it.services)
+    {
+        if (!usage.empty())
+            services[service] = to_json(usage, now);
+    }
+    return {{"slot_ms", it.slot_length.count()}, {"services", std::move(services)}};
+}
+
+policy::run_usage read_usage(const json& from, timestamp now)
+{
+    policy::run_usage out{.slot_length = milliseconds{from.at("slot_ms").get<std::int64_t>()}};
+    for (const auto& [service, numbers] : from.at("services").items())
+    {
+        auto start = now - milliseconds{numbers.at(0).get<std::int64_t>()};
+        policy::service_usage usage{{start}};
+        for (std::size_t i = 1; i + 1 < numbers.size(); i += 2)
+        {
+            if (i > 1)
+                usage.push_back({start});
+            usage.back().calls = numbers.at(i).get<std::int64_t>();
+            usage.back().retries = numbers.at(i + 1).get<std::int64_t>();
+            start -= out.slot_length;
+        }
+        out.services.emplace(service, std::move(usage));
+    }
+    return out;
+}
+
+json to_json(const policy::retry_report& it, timestamp now)
+{
+    json out = {{"run", it.run}, {"asks", it.is_asking}, {"own", to_json(it.own, now)}};
+    auto others = json::array();
+    for (const auto& [run, usage] : it.others)
+        others.push_back(
+            {{"gateway", run.gateway}, {"run", run.number}, {"used", to_json(usage, now)}});
+    if (!others.empty())
+        out["others"] = std::move(others);
+    if (it.known_since)
+        out["known_ms"] = (now - *it.known_since).count();
+    return out;
+}
+
+policy::retry_report read_retries(const json& from, timestamp now)
+{
+    policy::retry_report out{.run = from.at("run").get<std::uint64_t>(),
+                             .is_asking = from.at("asks").get<bool>(),
+                             .own = read_usage(from.at("own"), now)};
+    for (const auto& it : from.value("others", json::array()))
+        out.others.emplace(policy::gateway_run{it.at("gateway").get<std::string>(),
+                                               it.at("run").get<std::uint64_t>()},
+                           read_usage(it.at("used"), now));
+    if (from.contains("known_ms"))
+        out.known_since = now - milliseconds{from.at("known_ms").get<std::int64_t>()};
+    return out;
+}
+
 } // namespace
 
 std::string to_bytes(const peer_message& it, const std::string& token, timestamp now)
@@ -131,6 +206,8 @@
         message["limits"] = to_json(it.state.limits, now);
     if (!it.state.sends.empty())
         message["sends"] = to_json(it.state.sends, now);
+    if (it.state.retries)
+        message["retries"] = to_json(*it.state.retries, now);
     const auto bytes = json::to_cbor(message);
     return {bytes.begin(), bytes.end()};
 }
@@ -152,6 +229,8 @@
             out.state.request_crashes = read_crashes(message.at("request_crashes"), now);
         out.state.limits = read_limits(message.value("limits", json::object()), now);
         out.state.sends = read_sends(message.value("sends", json::object()), now);
+        if (message.contains("retries"))
+            out.state.retries = read_retries(message.at("retries"), now);
         return out;
     }
     catch (const json::exception& e)
--- a/source/gateway/peer_message.hpp
+++ b/source/gateway/peer_message.hpp
@@ -3,6 +3,7 @@
 #include "common/clock.hpp"
 #include "fleet/target_notices.hpp"
 #include "policy/crash_attribution.hpp"
+#include "policy/retry_report.hpp"
 #include "policy/shared_rate_limiter.hpp"
 
 #include <map>
@@ -27,12 +28,14 @@
     policy::recent_sends sends;
     /// About whole requests.
     policy::crash_evidence request_crashes = {};
+    /// None while no gateway needs it.
+    std::optional<policy::retry_report> retries = std::nullopt;
 
     bool operator==(const peer_state&) const = default;
     bool empty() const
     {
         return work.empty() && draining.empty() && crashes.empty() && request_crashes.empty() &&
-               limits.empty() && sends.empty();
+               limits.empty() && sends.empty() && !retries;
     }
 };
 
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -60,7 +60,7 @@
                                 {
                                     m_targets.prune(common::now());
                                     if (m_registry.prune(common::now()))
-                                        update_peers();
+                                        handle_gateways_pruned();
                                     execute_all(m_gossip.tick(common::now()));
                                 });
     // Deferred, since the response that shows the restore may itself end the watch.
@@ -111,6 +111,7 @@
                       if (response)
                       {
                           handle_store_success();
+                          note_first_read(response.value());
                           return execute_all(
                               m_gossip.read_finished(response.value(), common::now()));
                       }
@@ -118,6 +119,17 @@
                   });
 }
 
+/// Before this gateway has registered, the store shows which gateways have run lately.
+void state_follower::note_first_read(const kv::range_response& response)
+{
+    if (std::exchange(m_has_read_store, true))
+        return;
+    const auto is_gateway = [](const kv::key_value& it)
+    { return it.key.starts_with(gateway_registry::prefix); };
+    if (std::ranges::none_of(response.items, is_gateway))
+        m_no_gateway_since = common::now() - gateway_registry::absence_without_entry;
+}
+
 void state_follower::execute(const membership::start_watch& /*it*/)
 {
     const auto era = m_gossip.replica().era();
@@ -408,6 +420,13 @@
         m_on_change();
 }
 
+void state_follower::handle_gateways_pruned()
+{
+    update_peers();
+    if (m_on_change)
+        m_on_change();
+}
+
 void state_follower::update_peers()
 {
     m_peers = m_registry.peers();
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -49,8 +49,11 @@
     double slowdown_of(const std::string& address) const;
     /// The other gateways.
     const std::vector<membership::peer>& peers() const { return m_peers; }
+    /// Since when no other gateway has run without an entry in the store, as this gateway's first
+    /// read of the store showed; none if there were entries.
+    std::optional<common::timestamp> no_gateway_since() const { return m_no_gateway_since; }
     kv::revision as_of() const { return m_gossip.replica().as_of(); }
-    /// Calls fn after every change of the configuration or the targets.
+    /// Calls fn after every change of the configuration, the targets or the gateways.
     void on_change(std::function<void()> fn) { m_on_change = std::move(fn); }
     /// Calls fn when a key with the prefix has changed, with the rest of the key.
     void on_entry(std::string prefix, std::function<void(const std::string&, entry_change)> fn)
@@ -66,6 +69,7 @@
     void execute(const membership::start_watch& it);
     void execute(const membership::stop_watch& it);
     void receive(std::string_view bytes);
+    void note_first_read(const kv::range_response& response);
     void handle_store_restored();
     void handle_store_success();
     void handle_store_failure(const common::failure& why);
@@ -79,6 +83,7 @@
     bool may_adopt(const fleet::configuration& found, const kv::key_value& it);
     void adopt_older_configuration(const std::string& key);
     void put_in_force(fleet::configuration found, kv::revision revision);
+    void handle_gateways_pruned();
     void update_peers();
 
     io::event_loop& m_loop;
@@ -100,6 +105,8 @@
     std::function<void()> m_on_change;
     std::map<std::string, std::function<void(const std::string&, entry_change)>> m_entry_handlers;
     std::unique_ptr<kv::watch> m_watch;
+    bool m_has_read_store = false;
+    std::optional<common::timestamp> m_no_gateway_since;
     bool m_store_is_lost = false;
     common::timestamp m_store_recovered_at;
     /// When the store last responded, and when the current configuration was adopted.
--- a/source/unit_tests/gateway/peer_message_test.cpp
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -95,6 +95,35 @@
     cr_assert(without.has_value() && without->state.request_crashes.empty());
 }
 
+/// The release before (commit aa05eaf) sent no reports on retries, and reads messages with them.
+Test(peer_message, reports_on_retries_are_read_with_the_times_of_the_receiver)
+{
+    const auto later = now + common::milliseconds{12'345};
+    policy::retry_report sent{.run = 0xffff'ffff'ffffU,
+                              .is_asking = true,
+                              .own = {.slot_length = common::milliseconds{500}}};
+    sent.own.services["s"] = {{now - common::milliseconds{30}, 4, 1},
+                              {now - common::milliseconds{530}, 0, 0},
+                              {now - common::milliseconds{1030}, 7, 2},
+                              {now - common::milliseconds{1530}, 0, 0}};
+    sent.others[{"gateway-2", 5}] = sent.own;
+    sent.known_since = now - common::milliseconds{10'000};
+    peer_state state{{{"e-0", 1.0}}, {}, {}, {}, {}};
+    state.retries = sent;
+    const auto it = read_peer_message(to_bytes({"gateway-1", state}, "t", now), "t", later);
+    cr_assert(it.has_value() && it->state.retries.has_value());
+    const auto& read = *it->state.retries;
+    cr_assert_eq(read.run, sent.run);
+    cr_assert(read.is_asking);
+    cr_assert_eq((later - *read.known_since).count(), 10'000);
+    cr_assert(read.others.at({"gateway-2", 5}) == read.own);
+    const auto& slots = read.own.services.at("s");
+    cr_assert_eq(slots.size(), 3U, "empty old slots are not sent");
+    cr_assert_eq((later - slots[2].start).count(), 1030);
+    cr_assert_eq(slots[0].calls, 4);
+    cr_assert_eq(slots[2].retries, 2);
+}
+
 Test(peer_message, limits_and_sends_are_read_with_the_times_of_the_receiver)
 {
     peer_state state;
--- a/tests/platform/gateway_retry_budget_test.cpp
+++ b/tests/platform/gateway_retry_budget_test.cpp
@@ -28,15 +28,14 @@
     failing_service()
     {
         for (int i = 0; i < 4; ++i)
-            m_deployment.add_target(common::concat("t-", i), "plain",
-                                    [this](const io::http_request& it,
-                                           const scripted_target::reply& out)
-                                    {
-                                        m_counts.record_arrival(
-                                            std::string{it.headers.find("x-request-id")},
+            m_deployment.add_target(
+                common::concat("t-", i), "plain",
+                [this](const io::http_request& it, const scripted_target::reply& out)
+                {
+                    m_counts.record_arrival(std::string{it.headers.find("x-request-id")},
                                             common::now());
-                                        out.write(whole_answer(it, m_status, ""));
-                                    });
+                    out.write(whole_answer(it, m_status, ""));
+                });
         m_deployment.put_config(m_deployment.config(5));
         for (std::size_t i = 0; i < gateways; ++i)
             cr_assert(m_deployment.wait_ready(i));
--- a/tests/stand_ins/repeat_count.cpp
+++ b/tests/stand_ins/repeat_count.cpp
@@ -28,10 +28,9 @@
 
 double repeat_count::allowed_from(common::timestamp start, const repeat_limit& limit) const
 {
-    const auto requests =
-        std::max({count_from(m_requests, start, limit.window),
-                  count_from(m_requests, start - limit.window / 2, limit.window),
-                  count_from(m_requests, start - limit.window, limit.window)});
+    const auto requests = std::max({count_from(m_requests, start, limit.window),
+                                    count_from(m_requests, start - limit.window / 2, limit.window),
+                                    count_from(m_requests, start - limit.window, limit.window)});
     return limit.ratio * requests + limit.extra;
 }
 
@@ -39,7 +38,8 @@
 {
     auto out = std::numeric_limits<double>::lowest();
     for (const auto start : m_repeats)
-        out = std::max(out, count_from(m_repeats, start, limit.window) - allowed_from(start, limit));
+        out =
+            std::max(out, count_from(m_repeats, start, limit.window) - allowed_from(start, limit));
     return out;
 }
 
