Use only the margin of the retry budget while the window is not known

Change: until the window is known, at most the margin that is otherwise left unused may be used, and of extra in proportion to the time since the start, so that any number of starts grants no more than that.

Test: all_killed_after_a_burst_get_no_further_retries failed before.

--- a/source/core/policy/windowed_retry_budget.cpp
+++ b/source/core/policy/windowed_retry_budget.cpp
@@ -94,12 +94,23 @@
         out.retries +=
             std::max<std::int64_t>(0, std::llround(static_cast<double>(it.retries) - share));
     }
-    const bool is_all_known = out.known >= m_limits.window;
-    out.allowed = allowed_for(static_cast<double>(out.calls),
-                              is_all_known ? seat * static_cast<double>(out.heard) : 0);
+    const auto extra = seat * static_cast<double>(out.heard);
+    const auto calls = static_cast<double>(out.calls);
+    out.allowed = out.known >= m_limits.window ? allowed_for(calls, extra)
+                                               : allowed_unknown(calls, extra, out.known);
     return out;
 }
 
+/// What may be used while retries in the window are not known: the margin alone, since all of the
+/// rest may have been used, and of `extra` in proportion to the time since the start, so that
+/// further starts grant no more.
+double windowed_retry_budget::allowed_unknown(double calls, double extra, milliseconds known) const
+{
+    const auto passed =
+        static_cast<double>(known.count()) / static_cast<double>(m_limits.window.count());
+    return (1 - m_limits.used_fraction) * (m_limits.ratio * calls + extra * passed);
+}
+
 double windowed_retry_budget::allowed_for(double calls, double extra) const
 {
     return m_limits.used_fraction * (m_limits.ratio * calls + extra);
--- a/source/core/policy/windowed_retry_budget.hpp
+++ b/source/core/policy/windowed_retry_budget.hpp
@@ -54,7 +54,7 @@
 /// used it still runs. Gateways report their calls and retries to each other, and to one that has
 /// started also those of gateways that have ended. From the same counts each takes at most an equal
 /// share of what is left between two reports. The part of `extra` of a gateway that is not heard is
-/// left out, and all of it while not all retries in the window are known.
+/// left out. While not all retries in the window are known, only the margin is used.
 class windowed_retry_budget
 {
 public:
@@ -117,6 +117,7 @@
     bool is_live(const gateway_run& it, timestamp now) const;
     bool is_over(const gateway_run& it) const;
     double allowed_for(double calls, double extra) const;
+    double allowed_unknown(double calls, double extra, milliseconds known) const;
     bool is_in_window(timestamp at, timestamp now) const { return now - at <= m_limits.window; }
     sums sum_of(const run_usage& it, const std::string& service, timestamp now) const;
     static std::int64_t retries_of(const run_usage& it);
--- a/source/unit_tests/policy/windowed_retry_budget_test.cpp
+++ b/source/unit_tests/policy/windowed_retry_budget_test.cpp
@@ -182,6 +182,27 @@
     cr_assert_leq(site.most_excess(), 0);
 }
 
+/// Guards against calls that earn retries after a start although those of before have used up the
+/// window: the gateways use what a calm window has earned, and are all killed, once or often.
+Test(windowed_retry_budget, all_killed_after_a_burst_get_no_further_retries)
+{
+    for (const int kills : {1, 4})
+    {
+        fleet site{4};
+        for (int n = 0; n < 3000; ++n)
+        {
+            for (int kill = 0; kill < kills; ++kill)
+            {
+                for (std::size_t i = 0; n == 1300 + kill * 150 && i < 4; ++i)
+                    site.restart(i);
+            }
+            site.call(static_cast<std::size_t>(n) % 4, n < 1000 ? 0 : 2);
+            site.advance();
+        }
+        cr_assert_leq(site.most_excess(), 0);
+    }
+}
+
 /// A gateway that has started and hears the others may use what they leave over.
 Test(windowed_retry_budget, started_gateway_uses_what_is_left)
 {
@@ -202,14 +223,18 @@
     cr_assert_geq(state.left(), 0.75 * (limits.extra + limits.ratio * 133));
 }
 
-/// A gateway that hears no other has its own share alone, after a window without any restart.
+/// A gateway that hears no other has its own share of extra, and no more than the margin of it
+/// in its first window.
 Test(windowed_retry_budget, gateway_that_hears_no_other_gets_its_share_of_extra)
 {
     windowed_retry_budget gateway{limits, {"g-0", 1}, start};
     gateway.set_peers({"g-1", "g-2", "g-3"});
-    cr_assert_not(gateway.take("s", start + milliseconds{9'990}));
-    const auto now = start + milliseconds{10'000};
+    cr_assert_not(gateway.take("s", start));
     int taken = 0;
+    while (gateway.take("s", start + milliseconds{9'990}))
+        ++taken;
+    cr_assert_leq(taken, 2);
+    const auto now = start + milliseconds{10'000};
     while (gateway.take("s", now))
         ++taken;
     cr_assert_leq(taken, 10);
