Don't take expired entries of gateways for a sign that none has run

A gateway that starts trusted the whole window if its first read of the store showed no entry of a gateway. Entries also expire while the store is away, so gateways that were all killed meanwhile would have begun with a whole budget.

Found by reading; the new case of gateway_retry_budget_test, which removes the entries, failed before. Ruled out: a longer lease, which an outage outlasts. Now the first gateway that ever starts writes kqg/first_start, without a lease, and only a store without it is a first start.

--- a/source/core/policy/windowed_retry_budget.cpp
+++ b/source/core/policy/windowed_retry_budget.cpp
@@ -173,7 +173,7 @@
     for (const auto& [run, usage] : from.others)
         add_relayed_run(run, usage, now);
     if (from.known_since)
-        set_known_since(*from.known_since);
+        m_known_since = std::min(m_known_since, *from.known_since);
 }
 
 /// Of two reports on a run, the one with more retries is the later one.
--- a/source/core/policy/windowed_retry_budget.hpp
+++ b/source/core/policy/windowed_retry_budget.hpp
@@ -66,8 +66,11 @@
     void set_limits(retry_limits limits) { m_limits = limits; }
     /// The names of the other gateways that are registered.
     void set_peers(std::set<std::string> peers) { m_peers = std::move(peers); }
-    /// No gateway has sent a retry since then, apart from those that report it.
-    void set_known_since(timestamp at) { m_known_since = std::min(m_known_since, at); }
+    /// No gateway has sent a retry in the window, apart from those that report it.
+    void set_all_known(timestamp now)
+    {
+        m_known_since = std::min(m_known_since, now - m_limits.window);
+    }
     /// A call for the service has arrived.
     void record_call(const std::string& service, timestamp now);
     /// Takes one retry out of the budget; false when it is used up.
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -410,8 +410,8 @@
     std::ranges::transform(m_follower.peers(), std::inserter(peers, peers.end()),
                            [](const auto& it) { return it.name; });
     m_retry_budget.set_peers(std::move(peers));
-    if (const auto since = m_follower.no_gateway_since())
-        m_retry_budget.set_known_since(*since);
+    if (m_follower.is_first_start())
+        m_retry_budget.set_all_known(common::now());
     report_started_gateway(common::now());
     if (const auto c = configuration())
     {
--- a/source/gateway/gateway_registry.cpp
+++ b/source/gateway/gateway_registry.cpp
@@ -16,12 +16,8 @@
 {
 
 /// The entry of a stopped gateway expires after this time.
-constexpr milliseconds registration_ttl{14'000};
+constexpr milliseconds registration_ttl{10'000};
 constexpr milliseconds registration_period{3000};
-/// The longest time that a renewal takes to reach the store.
-constexpr milliseconds renewal_time{1000};
-static_assert(registration_ttl - registration_period - renewal_time ==
-              gateway_registry::absence_without_entry);
 
 } // namespace
 
@@ -34,6 +30,8 @@
 void gateway_registry::register_self()
 {
     m_timer = m_loop.every(registration_period, [this] { register_self(); });
+    if (m_is_first_start_unsaved)
+        save_first_start();
     if (m_address.empty())
         return;
     if (m_lease.granted_in != m_store.current_era())
@@ -65,6 +63,32 @@
                   });
 }
 
+bool gateway_registry::note_first_read(const std::vector<kv::key_value>& items)
+{
+    const auto is_own_key = [](const kv::key_value& it)
+    { return it.key == first_start_key || it.key.starts_with(prefix); };
+    if (std::ranges::any_of(items, is_own_key))
+        return false;
+    m_is_first_start_unsaved = true;
+    save_first_start();
+    return true;
+}
+
+void gateway_registry::save_first_start()
+{
+    const std::string key{first_start_key};
+    m_store.write({{{{key, 0}}, {{key, m_name, {}}}}},
+                  [this](const auto& response)
+                  {
+                      // Written, or another gateway has written it.
+                      if (response)
+                          m_is_first_start_unsaved = false;
+                      else
+                          common::log(common::log_level::warn, "first_start_not_stored",
+                                      {{"detail", response.error().detail}});
+                  });
+}
+
 /// Drops the lease if it has ended or the entry was never written, so that a new one is requested.
 /// After any other failure the entry still exists, and the next renewal retries.
 void gateway_registry::handle_failure(const failure& why)
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -111,7 +111,8 @@
                       if (response)
                       {
                           handle_store_success();
-                          note_first_read(response.value());
+                          if (!std::exchange(m_has_read_store, true))
+                              m_is_first_start = m_registry.note_first_read(response.value().items);
                           return execute_all(
                               m_gossip.read_finished(response.value(), common::now()));
                       }
@@ -119,17 +120,6 @@
                   });
 }
 
-/// Before this gateway has registered, the store shows which gateways have run lately.
-void state_follower::note_first_read(const kv::range_response& response)
-{
-    if (std::exchange(m_has_read_store, true))
-        return;
-    const auto is_gateway = [](const kv::key_value& it)
-    { return it.key.starts_with(gateway_registry::prefix); };
-    if (std::ranges::none_of(response.items, is_gateway))
-        m_no_gateway_since = common::now() - gateway_registry::absence_without_entry;
-}
-
 void state_follower::execute(const membership::start_watch& /*it*/)
 {
     const auto era = m_gossip.replica().era();
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -49,9 +49,8 @@
     double slowdown_of(const std::string& address) const;
     /// The other gateways.
     const std::vector<membership::peer>& peers() const { return m_peers; }
-    /// Since when no other gateway has run without an entry in the store, as this gateway's first
-    /// read of the store showed; none if there were entries.
-    std::optional<common::timestamp> no_gateway_since() const { return m_no_gateway_since; }
+    /// True if no gateway had ever run when this one read the store first.
+    bool is_first_start() const { return m_is_first_start; }
     kv::revision as_of() const { return m_gossip.replica().as_of(); }
     /// Calls fn after every change of the configuration, the targets or the gateways.
     void on_change(std::function<void()> fn) { m_on_change = std::move(fn); }
@@ -69,7 +68,6 @@
     void execute(const membership::start_watch& it);
     void execute(const membership::stop_watch& it);
     void receive(std::string_view bytes);
-    void note_first_read(const kv::range_response& response);
     void handle_store_restored();
     void handle_store_success();
     void handle_store_failure(const common::failure& why);
@@ -106,7 +104,7 @@
     std::map<std::string, std::function<void(const std::string&, entry_change)>> m_entry_handlers;
     std::unique_ptr<kv::watch> m_watch;
     bool m_has_read_store = false;
-    std::optional<common::timestamp> m_no_gateway_since;
+    bool m_is_first_start = false;
     bool m_store_is_lost = false;
     common::timestamp m_store_recovered_at;
     /// When the store last responded, and when the current configuration was adopted.
--- a/source/unit_tests/policy/windowed_retry_budget_test.cpp
+++ b/source/unit_tests/policy/windowed_retry_budget_test.cpp
@@ -31,7 +31,7 @@
         for (std::size_t i = 0; i < gateways; ++i)
             restart(i);
         for (auto& it : m_gateways)
-            it->set_known_since(m_now - limits.window);
+            it->set_all_known(m_now);
     }
 
     timestamp now() const { return m_now; }
--- a/tests/platform/gateway_retry_budget_test.cpp
+++ b/tests/platform/gateway_retry_budget_test.cpp
@@ -102,6 +102,25 @@
     cr_assert_leq(service.counts().most_excess(limit), 0);
 }
 
+/// Guards against gateways that take entries which lapsed while the store was away for a sign that
+/// no gateway has run.
+Test(gateway_retry_budget, killed_gateways_whose_entries_lapsed_get_no_further_retries)
+{
+    failing_service service;
+    service.make_calls(30);
+    for (int n = 0; n < 3; ++n)
+    {
+        for (std::size_t i = 0; i < gateways; ++i)
+            service.deployment().gateway(i).kill();
+        for (std::size_t i = 0; i < gateways; ++i)
+            service.deployment().store().remove(common::concat("kqg/gateways/gateway-", i));
+        for (std::size_t i = 0; i < gateways; ++i)
+            service.restart(i);
+        service.make_calls(24);
+    }
+    cr_assert_leq(service.counts().most_excess(limit), 0);
+}
+
 /// Guards against a budget that is merely cut for gateways that have restarted.
 Test(gateway_retry_budget, restarted_gateways_may_use_what_is_left)
 {
