Keep counting the sends of a gateway that has started again

Reports are now added to earlier ones for as long as sends are remembered. The starting gateway itself begins with a used-up burst, as before.

--- a/source/core/policy/retry_report.hpp
+++ b/source/core/policy/retry_report.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace kumquatgap::policy
@@ -43,7 +44,11 @@
     /// Differs from run to run.
     std::uint64_t number = 0;
 
-    auto operator<=>(const gateway_run&) const = default;
+    bool operator==(const gateway_run&) const = default;
+    bool operator<(const gateway_run& it) const
+    {
+        return std::tie(gateway, number) < std::tie(it.gateway, it.number);
+    }
 };
 
 /// What a gateway reports to the others about the retries of all of them.
--- a/source/core/policy/shared_rate_limiter.cpp
+++ b/source/core/policy/shared_rate_limiter.cpp
@@ -1,6 +1,7 @@
 #include "policy/shared_rate_limiter.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace kumquatgap::policy
 {
@@ -9,6 +10,8 @@
 {
 
 constexpr double ms_per_s = 1000;
+/// The times of one send in two reports differ by less than this.
+constexpr milliseconds max_delivery_time{100};
 
 } // namespace
 
@@ -34,6 +37,18 @@
 void shared_rate_limiter::update_peer_sends(const std::string& gateway, recent_sends sends,
                                             timestamp now)
 {
+    // A gateway that has started again does not know what it sent before.
+    for (const auto& [target, times] : m_peers[gateway].sends)
+    {
+        auto& reported = sends[target];
+        const auto oldest = reported.empty() ? timestamp::max() : std::ranges::min(reported);
+        std::ranges::copy_if(times, std::back_inserter(reported),
+                             [&](timestamp at)
+                             {
+                                 return now - at <= m_options.memory &&
+                                        at < oldest - max_delivery_time;
+                             });
+    }
     m_peers.insert_or_assign(gateway, peer{std::move(sends), now});
 }
 
--- a/source/core/policy/shared_rate_limiter.hpp
+++ b/source/core/policy/shared_rate_limiter.hpp
@@ -45,6 +45,7 @@
     /// to them before was not counted.
     void set_limited(const std::set<std::string>& targets, timestamp now);
     void record_send(const std::string& target, timestamp now);
+    /// Adds the sends that another gateway has reported to those that it reported before.
     void update_peer_sends(const std::string& gateway, recent_sends sends, timestamp now);
     /// True when a request may be sent to a target that accepts `per_second` requests from
     /// `gateways` gateways, this one included.
--- a/source/unit_tests/policy/shared_rate_limiter_test.cpp
+++ b/source/unit_tests/policy/shared_rate_limiter_test.cpp
@@ -27,6 +27,8 @@
     /// The time between two broadcasts, and how many of them are lost, in percent.
     milliseconds broadcast_period{20};
     unsigned lost_percent = 0;
+    /// After each such time the next gateway in turn starts again; 0 for never.
+    milliseconds restart_period{0};
     std::vector<timestamp> sends;
 
     void play(milliseconds time, unsigned seed)
@@ -35,6 +37,9 @@
         std::uniform_real_distribution<double> draw{0, 1};
         for (auto now = start; now < start + time; now += step)
         {
+            if (restart_period.count() != 0 && (now - start) % restart_period == milliseconds{0})
+                gateways[static_cast<std::size_t>((now - start) / restart_period) %
+                         gateways.size()] = shared_rate_limiter{};
             for (std::size_t i = 0; i < gateways.size(); ++i)
             {
                 gateways[i].set_limited({target}, now);
@@ -136,6 +141,19 @@
     cr_assert_geq(it.sends.size(), 40U);
 }
 
+/// Guards against gateways that forget what another has sent when that one starts again.
+Test(shared_rate_limiter, gateways_that_restart_in_turn_keep_the_limit)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        fleet it{{10, 10, 10, 10}};
+        it.restart_period = milliseconds{300};
+        it.play(milliseconds{30'000}, seed);
+        cr_assert_leq(it.most_in_a_window(), it.allowed(), "seed %u: %td", seed,
+                      it.most_in_a_window());
+    }
+}
+
 Test(shared_rate_limiter, target_with_a_limit_of_zero_is_asked_again)
 {
     fleet it{{10.0}};
