Check the budget of repeats in the soak, with storms of restarts

Targets count what arrives; over any window the repeats of a service must stay within the limit that the gateways have. In half of the runs, drawn from a generator of its own, two thirds of the targets fail while gateways are killed and started six times, beside the other faults.

--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -32,9 +32,10 @@
     return out;
 }
 
-soak_target::soak_target(platform_tests::gateway_deployment& site, run_counts& runs, std::string id,
-                         std::string service)
-    : m_site{site}, m_runs{runs}, m_id{std::move(id)}, m_service{std::move(service)}
+soak_target::soak_target(platform_tests::gateway_deployment& site, run_counts& runs,
+                         service_repeats& repeats, std::string id, std::string service)
+    : m_site{site}, m_runs{runs}, m_repeats{repeats}, m_id{std::move(id)}, m_service{
+                                                                               std::move(service)}
 {
     auto& real = site.add_target(m_id, m_service,
                                  [this](const io::http_request& request, const reply& out)
@@ -65,11 +66,13 @@
 
 void soak_target::take(const io::http_request& request, const reply& out)
 {
+    const std::string id{request.headers.find("x-request-id")};
+    m_repeats[m_service].record_arrival(id, common::now());
     if (request.headers.find("x-expect-instance") != m_id)
         return out.write(unrun(request, 421));
     if (m_mood == target_mood::refuses)
         return out.write(unrun(request, 503));
-    ++m_runs[std::string{request.headers.find("x-request-id")}];
+    ++m_runs[id];
     if (m_mood == target_mood::is_slow)
     {
         m_timers.push_back(
--- a/tests/soak/soak_target.hpp
+++ b/tests/soak/soak_target.hpp
@@ -2,6 +2,7 @@
 
 #include "gateway_deployment.hpp"
 #include "relay.hpp"
+#include "repeat_count.hpp"
 
 #include <map>
 #include <memory>
@@ -34,6 +35,9 @@
 /// How often each request was run, by its id, over all targets.
 using run_counts = std::map<std::string, int>;
 
+/// What was sent for each service, and what arrived at its targets.
+using service_repeats = std::map<std::string, stand_ins::repeat_count>;
+
 /// The body of a request's own answer, long enough to be cut.
 std::string own_answer(const std::string& id);
 inline constexpr int last_event = 12;
@@ -42,8 +46,8 @@
 class soak_target
 {
 public:
-    soak_target(platform_tests::gateway_deployment& site, run_counts& runs, std::string id,
-                std::string service);
+    soak_target(platform_tests::gateway_deployment& site, run_counts& runs,
+                service_repeats& repeats, std::string id, std::string service);
 
     failures::relay& path() { return *m_relay; }
     void set_mood(target_mood mood) { m_mood = mood; }
@@ -61,6 +65,7 @@
 
     platform_tests::gateway_deployment& m_site;
     run_counts& m_runs;
+    service_repeats& m_repeats;
     std::string m_id;
     std::string m_service;
     int m_starts = 0;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <sstream>
 
@@ -27,6 +28,10 @@
 /// The grace of the site's gateways is 6 s; a machine that is busy adds some.
 constexpr milliseconds longest_stop{8000};
 constexpr int calls_to_prove_recovery = 4;
+/// As in the settings of the site's gateways.
+constexpr stand_ins::repeat_limit repeat_limit{
+    .ratio = 0.2, .extra = 20, .window = milliseconds{10'000}};
+constexpr int restarts_in_storm = 6;
 constexpr auto paths = std::to_array<std::string_view>({"/read/x", "/act/x", "/draft/x"});
 
 } // namespace
@@ -39,7 +44,7 @@
     {
         for (int i = 0; i < targets_of_service; ++i)
             m_targets.push_back(std::make_unique<soak_target>(
-                m_site, m_runs, common::concat(service, "-", i), service));
+                m_site, m_runs, m_repeats, common::concat(service, "-", i), service));
     }
     m_site.put_config(m_site.config(m_config_version));
 }
@@ -78,6 +83,7 @@
     call it;
     it.id = common::concat("c", m_calls.size());
     it.path = paths[draw(paths.size())];
+    m_repeats[it.path == paths[2] ? "engine" : "plain"].record_request(common::now());
     it.open =
         m_site.begin(m_site.request(it.path, it.id, it.path == paths[0] ? "" : "{}"), gateway);
     m_calls.push_back(std::move(it));
@@ -131,6 +137,17 @@
     }
 }
 
+/// All gateways together, whatever restarted, stay within the budget of repeats in any window.
+void soak_world::check_repeats()
+{
+    for (const auto& [service, it] : m_repeats)
+    {
+        if (const auto excess = it.most_excess(repeat_limit); excess > 0)
+            broke(common::concat("targets of ", service, " got ", std::ceil(excess),
+                                 " repeats too many in a window"));
+    }
+}
+
 void soak_world::later(milliseconds delay, std::function<void()> fn)
 {
     m_undos.push_back({common::now() + delay, std::move(fn)});
@@ -209,6 +226,39 @@
         it->put_entry();
 }
 
+/// Draws from a generator of its own, as above.
+void soak_world::plan_storm()
+{
+    std::mt19937_64 random{m_seed ^ 0x5702};
+    if (random() % 2 == 0)
+        return;
+    m_storm_at =
+        common::now() + milliseconds{random() % static_cast<std::uint64_t>(m_length.count() / 2)};
+}
+
+void soak_world::begin_storm_when_due()
+{
+    if (common::now() < m_storm_at)
+        return;
+    m_storm_at = common::timestamp::max();
+    constexpr milliseconds pause{350};
+    for (std::size_t i = 0; i < m_targets.size(); ++i)
+    {
+        if (i % targets_of_service == 0)
+            continue;
+        m_targets[i]->set_mood(target_mood::fails);
+        later(pause * restarts_in_storm,
+              [this, i] { m_targets[i]->set_mood(target_mood::answers); });
+    }
+    for (int n = 1; n <= restarts_in_storm; ++n)
+        later(pause * n,
+              [this, i = static_cast<std::size_t>(n % gateways)]
+              {
+                  if (!m_is_stopped[i])
+                      m_site.restart_gateway(i);
+              });
+}
+
 void soak_world::state_change()
 {
     auto& target = any_target();
@@ -342,11 +392,13 @@
     for (std::size_t i = 0; i < gateways; ++i)
         m_site.wait_ready(i);
     plan_restore();
+    plan_storm();
     const auto end = common::now() + m_length;
     while (common::now() < end)
     {
         tick();
         restore_store_when_due();
+        begin_storm_when_due();
         if (draw(10) < calls_in_ten_ticks)
             begin_call(draw(gateways));
         if (draw(ticks_between_faults) == 0 && m_undos.size() < most_faults_at_once)
@@ -364,6 +416,7 @@
     }
     check_recovery();
     check_counts();
+    check_repeats();
     return m_broken;
 }
 
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -48,6 +48,7 @@
     void check(const call& it);
     void check_stream(const call& it);
     void check_counts();
+    void check_repeats();
     void check_recovery();
     void begin_fault();
     void target_fault();
@@ -55,6 +56,8 @@
     void store_fault();
     void plan_restore();
     void restore_store_when_due();
+    void plan_storm();
+    void begin_storm_when_due();
     void state_change();
     void gateway_fault();
     void stop_gateway(std::size_t i);
@@ -71,8 +74,11 @@
     /// the runs.
     common::timestamp m_copy_at = common::timestamp::max();
     common::timestamp m_restore_at = common::timestamp::max();
+    /// When many targets begin to fail while gateways restart; never in half of the runs.
+    common::timestamp m_storm_at = common::timestamp::max();
     platform_tests::gateway_deployment m_site;
     run_counts m_runs;
+    service_repeats m_repeats;
     std::vector<std::unique_ptr<soak_target>> m_targets;
     std::vector<call> m_calls;
     std::vector<undo> m_undos;
