--- a/source/core/policy/shared_rate_limiter.cpp
+++ b/source/core/policy/shared_rate_limiter.cpp
@@ -43,8 +43,7 @@
         auto& reported = sends[target];
         const auto oldest = reported.empty() ? timestamp::max() : std::ranges::min(reported);
         std::ranges::copy_if(times, std::back_inserter(reported),
-                             [&](timestamp at)
-                             {
+                             [&](timestamp at) {
                                  return now - at <= m_options.memory &&
                                         at < oldest - max_delivery_time;
                              });
