Keep asking for the retries of gateways that end just before a start

A gateway that starts asked the others until one answered. That one still took a gateway that had ended within the last 1.5 s for running, and did not pass its usage on; nobody did later, since nobody asked any more.

Now a gateway asks for 2 s after its start, so those that are missed by then are passed on.

--- a/source/core/policy/windowed_retry_budget.cpp
+++ b/source/core/policy/windowed_retry_budget.cpp
@@ -121,6 +121,18 @@
     return std::max(min_report_period, load_broadcast_interval(m_peers.size()));
 }
 
+milliseconds windowed_retry_budget::reporter_lifetime() const
+{
+    return std::max(min_reporter_lifetime, 3 * report_period());
+}
+
+/// For a time after the start the others may not have missed a gateway that ended just before.
+bool windowed_retry_budget::is_asking(timestamp now) const
+{
+    return known(now) < m_limits.window ||
+           now - m_started_at <= reporter_lifetime() + 2 * report_period();
+}
+
 /// How long it takes at most until the others have learnt of a retry.
 milliseconds windowed_retry_budget::report_lag() const
 {
@@ -135,8 +147,7 @@
 bool windowed_retry_budget::is_heard(const std::string& gateway, timestamp now) const
 {
     const auto it = m_reporters.find(gateway);
-    return it != m_reporters.end() &&
-           now - it->second.heard_at <= std::max(min_reporter_lifetime, 3 * report_period());
+    return it != m_reporters.end() && now - it->second.heard_at <= reporter_lifetime();
 }
 
 bool windowed_retry_budget::is_live(const gateway_run& it, timestamp now) const
@@ -227,7 +238,7 @@
 
 bool windowed_retry_budget::is_report_needed(timestamp now) const
 {
-    return is_asked(now) || known(now) < m_limits.window ||
+    return is_asked(now) || is_asking(now) ||
            std::ranges::any_of(m_services,
                                [](const auto& it) { return !it.second.retries.empty(); }) ||
            std::ranges::any_of(m_runs, [](const auto& it) { return retries_of(it.second) > 0; });
@@ -241,9 +252,8 @@
         return std::nullopt;
     m_has_update = false;
     m_reported_at = now;
-    retry_report out{.run = m_self.number,
-                     .is_asking = known(now) < m_limits.window,
-                     .own = {.slot_length = slot_length()}};
+    retry_report out{
+        .run = m_self.number, .is_asking = is_asking(now), .own = {.slot_length = slot_length()}};
     for (const auto& [service, it] : m_services)
     {
         if (!it.calls.empty() || !it.retries.empty())
@@ -264,7 +274,7 @@
     std::map<gateway_run, run_usage> out;
     for (const auto& [run, it] : m_runs)
     {
-        if (!is_live(run, now))
+        if (!is_live(run, now) && retries_of(it) > 0)
             out.emplace(run, it);
     }
     return out;
--- a/source/core/policy/windowed_retry_budget.hpp
+++ b/source/core/policy/windowed_retry_budget.hpp
@@ -59,7 +59,8 @@
 {
 public:
     windowed_retry_budget(retry_limits limits, gateway_run self, timestamp started_at)
-        : m_limits{limits}, m_self{std::move(self)}, m_known_since{started_at}
+        : m_limits{limits}, m_self{std::move(self)}, m_started_at{started_at}, m_known_since{
+                                                                                   started_at}
     {
     }
 
@@ -94,7 +95,7 @@
     static constexpr milliseconds delivery_time{100};
     static constexpr std::size_t slots_per_window = 20;
     /// The most runs of others in one report, so that it fits a datagram beside the loads.
-    static constexpr std::size_t max_relayed_runs = 24;
+    static constexpr std::size_t max_relayed_runs = 16;
 
     struct counts
     {
@@ -116,6 +117,8 @@
 
     milliseconds report_period() const;
     milliseconds report_lag() const;
+    milliseconds reporter_lifetime() const;
+    bool is_asking(timestamp now) const;
     bool is_heard(const std::string& gateway, timestamp now) const;
     bool is_live(const gateway_run& it, timestamp now) const;
     bool is_over(const gateway_run& it) const;
@@ -137,6 +140,7 @@
 
     retry_limits m_limits;
     gateway_run m_self;
+    timestamp m_started_at;
     timestamp m_known_since;
     std::set<std::string> m_peers;
     std::map<std::string, counts> m_services;
--- a/source/unit_tests/policy/windowed_retry_budget_test.cpp
+++ b/source/unit_tests/policy/windowed_retry_budget_test.cpp
@@ -285,6 +285,30 @@
     cr_assert_leq(site.most_excess(), 0);
 }
 
+/// Guards against a start right after another gateway has ended, before anyone has missed that one:
+/// it had used most of the budget, and so would the started one.
+Test(windowed_retry_budget, gateway_that_starts_after_another_has_ended_learns_what_that_used)
+{
+    fleet site{3};
+    for (int n = 0; n < 250; ++n)
+    {
+        site.call(0, n % 5 == 0 ? 2 : 0);
+        site.advance();
+    }
+    const auto used = site.retries();
+    site.stop(0);
+    site.advance();
+    site.restart(1);
+    for (int n = 0; n < 200; ++n)
+        site.advance();
+    const auto state = site.gateway(1).state("s", site.now());
+    cr_assert_eq(state.known, limits.window);
+    // What it had used beyond its own share and the retries that its calls had earned.
+    const auto share = limits.used_fraction * (limits.ratio * 250 + limits.extra / 3);
+    cr_assert_geq(static_cast<double>(state.retries), static_cast<double>(used) - share - 1);
+    cr_assert_gt(static_cast<double>(used), share + 2);
+}
+
 /// A mass failure at a large site: all gateways ask for many retries within one report.
 Test(windowed_retry_budget, bursts_at_many_gateways_stay_within_limit)
 {
