Count the retries of a window without a copy of its lists

Each decision copied the times of all calls and retries of the service in the window (2,000 at design load). Both lists are in order, so two searches do. A truncated report of retries is refused; the test of the message asks so. windowed_retry_budget_test and peer_message_test pass as before.

--- a/source/core/policy/windowed_retry_budget.cpp
+++ b/source/core/policy/windowed_retry_budget.cpp
@@ -12,9 +12,10 @@
 namespace
 {
 
-std::int64_t count_of(std::size_t n)
+/// The number of times in an ordered list that are not before `from`.
+std::int64_t count_since(const std::deque<timestamp>& times, timestamp from)
 {
-    return static_cast<std::int64_t>(n);
+    return std::ranges::distance(std::ranges::lower_bound(times, from), times.end());
 }
 
 } // namespace
@@ -69,13 +70,10 @@
     const auto seat = m_limits.extra / static_cast<double>(out.gateways);
     if (const auto found = m_services.find(service); found != m_services.end())
     {
-        auto own = found->second;
-        drop_old(own.calls, now);
-        drop_old(own.retries, now);
-        out.own_calls = count_of(own.calls.size());
-        out.own_retries = count_of(own.retries.size());
-        const auto unreported = std::ranges::count_if(own.retries, [&](timestamp at)
-                                                      { return now - at <= report_lag(); });
+        const auto& own = found->second;
+        out.own_calls = count_since(own.calls, now - m_limits.window);
+        out.own_retries = count_since(own.retries, now - m_limits.window);
+        const auto unreported = count_since(own.retries, now - report_lag());
         out.unreported = static_cast<double>(unreported) * static_cast<double>(out.heard - 1);
     }
     out.calls = out.own_calls;
--- a/source/unit_tests/gateway/peer_message_test.cpp
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -122,6 +122,9 @@
     cr_assert_eq((later - slots[2].start).count(), 1030);
     cr_assert_eq(slots[0].calls, 4);
     cr_assert_eq(slots[2].retries, 2);
+    const auto bytes = to_bytes({"gateway-1", state}, "t", now);
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        cr_assert_not(read_peer_message(bytes.substr(0, n), "t", now).has_value());
 }
 
 Test(peer_message, limits_and_sends_are_read_with_the_times_of_the_receiver)
