--- a/tests/platform/gateway_retry_budget_test.cpp
+++ b/tests/platform/gateway_retry_budget_test.cpp
@@ -5,6 +5,8 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+
 using namespace kumquatgap;
 using namespace kumquatgap::platform_tests;
 using common::milliseconds;
@@ -71,6 +73,31 @@
     int m_status = 500;
 };
 
+/// What becomes of the entries of killed gateways in the store.
+enum class entries : std::uint8_t
+{
+    stay,
+    lapse
+};
+
+/// Kills all gateways at once, three times.
+void check_kills(entries what)
+{
+    failing_service service;
+    service.make_calls(30);
+    for (int n = 0; n < 3; ++n)
+    {
+        for (std::size_t i = 0; i < gateways; ++i)
+            service.deployment().gateway(i).kill();
+        for (std::size_t i = 0; what == entries::lapse && i < gateways; ++i)
+            service.deployment().store().remove(common::concat("kqg/gateways/gateway-", i));
+        for (std::size_t i = 0; i < gateways; ++i)
+            service.restart(i);
+        service.make_calls(24);
+    }
+    cr_assert_leq(service.counts().most_excess(limit), 0);
+}
+
 } // namespace
 
 /// Guards against gateways that forget at a restart which retries they have sent in the window.
@@ -89,36 +116,14 @@
 /// Guards against the same when no gateway is left that could remember.
 Test(gateway_retry_budget, gateways_that_are_all_killed_get_no_further_retries)
 {
-    failing_service service;
-    service.make_calls(30);
-    for (int n = 0; n < 3; ++n)
-    {
-        for (std::size_t i = 0; i < gateways; ++i)
-            service.deployment().gateway(i).kill();
-        for (std::size_t i = 0; i < gateways; ++i)
-            service.restart(i);
-        service.make_calls(24);
-    }
-    cr_assert_leq(service.counts().most_excess(limit), 0);
+    check_kills(entries::stay);
 }
 
 /// Guards against gateways that take entries which lapsed while the store was away for a sign that
 /// no gateway has run.
 Test(gateway_retry_budget, killed_gateways_whose_entries_lapsed_get_no_further_retries)
 {
-    failing_service service;
-    service.make_calls(30);
-    for (int n = 0; n < 3; ++n)
-    {
-        for (std::size_t i = 0; i < gateways; ++i)
-            service.deployment().gateway(i).kill();
-        for (std::size_t i = 0; i < gateways; ++i)
-            service.deployment().store().remove(common::concat("kqg/gateways/gateway-", i));
-        for (std::size_t i = 0; i < gateways; ++i)
-            service.restart(i);
-        service.make_calls(24);
-    }
-    cr_assert_leq(service.counts().most_excess(limit), 0);
+    check_kills(entries::lapse);
 }
 
 /// Guards against a budget that is merely cut for gateways that have restarted.
