--- a/source/core/policy/retry_report.hpp
+++ b/source/core/policy/retry_report.hpp
@@ -62,8 +62,8 @@
     run_usage own = {};
     /// The usage of runs that the sender no longer hears; only when it is asked for.
     std::map<gateway_run, run_usage> others = {};
-    /// `others` has all retries since then of which the sender is not told by the gateways that
-    /// sent them; none when it is not complete.
+    /// Since when `others` and the reports of running gateways have all retries; none when `others`
+    /// is not complete.
     std::optional<timestamp> known_since = std::nullopt;
 
     bool operator==(const retry_report&) const = default;
--- a/source/unit_tests/policy/windowed_retry_budget_test.cpp
+++ b/source/unit_tests/policy/windowed_retry_budget_test.cpp
@@ -324,7 +324,7 @@
     cr_assert_gt(site.retries(), 500);
 }
 
-/// Nobody needs reports while nothing is retried and no gateway has started.
+/// No reports are needed while nothing is retried and no gateway has started.
 Test(windowed_retry_budget, nothing_is_reported_in_calm)
 {
     fleet site{2};
