--- a/review/drivers/restored_store_main.cpp
+++ b/review/drivers/restored_store_main.cpp
@@ -108,15 +108,14 @@
     request_ptr probe(std::size_t gateway, std::string_view key, const std::string& path)
     {
         const auto id = common::concat("r", ++m_requests);
-        const auto it =
-            m_deployment.send(gateway, {"GET",
-                                        path,
-                                        {},
-                                        {{"Host", "desk.example"},
-                                         {"X-Request-Id", id},
-                                         {"X-Deadline-Ms", "1500"},
-                                         {"Authorization", common::concat("Bearer ", key)}},
-                                        {}});
+        auto it = m_deployment.send(gateway, {"GET",
+                                              path,
+                                              {},
+                                              {{"Host", "desk.example"},
+                                               {"X-Request-Id", id},
+                                               {"X-Deadline-Ms", "1500"},
+                                               {"Authorization", common::concat("Bearer ", key)}},
+                                              {}});
         m_probes.push_back({it, key == revoked_key});
         return it;
     }
