Count a loss before the response head as evidence in groups

Cause: crash_guard::record_lost ignored a loss without a head when the target was a rank of a group, to spare sound requests that wait there. A rank that sends its head with the first token never has one at the crash, so nothing was known of the request. Evidence: the logs have target_lost has_head=0 with the same digest at each crash, and no target_probed, so the request was never even held. Ruled out with that: an unconfirmed crash, and the parts of the prompt.

Change: such a loss counts as it does outside of groups: quarantined after two confirmed crashes. What was spared before is spared otherwise: requests in equally many crashes are tried one at a time instead of being quarantined together, and a crash without a head is judged once the other gateways can have reported, as one with a head is.

The second new case, a request that met one crash of a group, is a guard and passed before.

--- a/source/core/policy/crash_attribution.cpp
+++ b/source/core/policy/crash_attribution.cpp
@@ -266,7 +266,8 @@
     const bool never_served =
         std::ranges::none_of(leaders, [&](const auto& it) { return served_at(it).has_value(); });
     if (highest >= min_crashes &&
-        (leaders.size() == 1 || (never_served && highest >= m_options.crashes_without_head)))
+        (leaders.size() == 1 ||
+         (m_options.quarantines_ties && never_served && highest >= m_options.crashes_without_head)))
         culprits.insert(leaders.begin(), leaders.end());
     else if (highest >= min_crashes)
         m_suspects.insert(leaders.begin(), leaders.end());
@@ -289,10 +290,10 @@
         {
             auto parts = it.waiting;
             parts.insert(it.begun.begin(), it.begun.end());
-            if (it.is_confirmed)
-                waiting.push_back(uncleared(parts, it));
-            else
+            if (!it.is_confirmed || now - it.at < settle_time)
                 hold_waiting(it);
+            else
+                waiting.push_back(uncleared(parts, it));
             continue;
         }
         auto open = uncleared(it.begun, it);
--- a/source/core/policy/crash_attribution.hpp
+++ b/source/core/policy/crash_attribution.hpp
@@ -41,6 +41,9 @@
     /// The same for parts of requests that no target had begun to answer. After this many, parts
     /// that always occur together and were never served are quarantined together.
     int crashes_without_head = 3;
+    /// Whether these are quarantined together. Otherwise each of them is tried alone until one is
+    /// in more crashes than the others, since sound ones may wait at the same targets.
+    bool quarantines_ties = true;
     /// A head without an event marks the request being answered only if heads usually arrive with
     /// the first event: after at least this fraction of its time.
     double min_head_fraction = 0.8;
--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -74,12 +74,8 @@
     m_parts.attribution().record_lost(key, it.marks.parts, it.has_head, now,
                                       it.marks.request.front());
     // A request may have met a crash by accident, so it gets another attempt. In a group, whose
-    // ranks all fail with the next crash, the one that was being answered does not, and those that
-    // only waited are too many to be suspected.
-    const bool is_being_answered = it.has_head || !it.is_group;
-    if (!is_being_answered)
-        return;
-    m_requests.attribution().record_lost(key, it.marks.request, it.is_group, now);
+    // ranks all fail with the next crash, the one that was being answered does not.
+    m_requests.attribution().record_lost(key, it.marks.request, it.is_group && it.has_head, now);
     if (it.has_head)
         probe(lost->second);
 }
--- a/source/gateway/quarantine.cpp
+++ b/source/gateway/quarantine.cpp
@@ -23,8 +23,9 @@
 /// it written.
 constexpr milliseconds save_spread{500};
 constexpr milliseconds save_retry{3000};
-/// The most bytes of evidence about whole requests in a broadcast, beside that about parts.
-constexpr std::size_t max_request_broadcast_bytes = 2048;
+/// The most bytes of evidence about whole requests in a broadcast, beside that about parts. A crash
+/// then names the requests of a dozen slots.
+constexpr std::size_t max_request_broadcast_bytes = 3072;
 
 /// The names of a kind in the store, in logs and in metrics.
 struct kind_names
@@ -55,6 +56,7 @@
         return out;
     out.first_lifetime = first_request_quarantine_time;
     out.crashes_without_head = 2;
+    out.quarantines_ties = false;
     out.max_broadcast_bytes = max_request_broadcast_bytes;
     return out;
 }
--- a/source/unit_tests/policy/crash_attribution_test.cpp
+++ b/source/unit_tests/policy/crash_attribution_test.cpp
@@ -325,7 +325,8 @@
 
 crash_attribution for_requests()
 {
-    return crash_attribution{{.first_lifetime = first_lifetime, .crashes_without_head = 2}};
+    return crash_attribution{
+        {.first_lifetime = first_lifetime, .crashes_without_head = 2, .quarantines_ties = false}};
 }
 
 } // namespace
@@ -387,3 +388,39 @@
     it.decide(start + settled);
     cr_assert_eq(it.judge({"r"}), part_verdict::clear);
 }
+
+/// Guards against a sound request that was refused because it waited at each target that another
+/// request crashed: of several requests, none is quarantined before one is in more crashes.
+Test(crash_attribution, request_that_waited_with_a_deadly_one_is_tried_alone)
+{
+    auto it = for_requests();
+    auto now = start;
+    for (const auto* target : {"t-0", "t-1", "t-2"})
+    {
+        crash(it, target, {"sound"}, now, false);
+        crash(it, target, {"deadly"}, now, false);
+        cr_assert_neq(verdict_after(it, {"sound"}, now), part_verdict::quarantined);
+        now += 2 * settled;
+    }
+    cr_assert_eq(it.judge({"sound"}), part_verdict::suspect);
+    cr_assert_eq(it.judge({"deadly"}), part_verdict::suspect);
+    serve(it, {"sound"}, now);
+    cr_assert_eq(verdict_after(it, {"deadly"}, now), part_verdict::quarantined);
+    cr_assert_eq(it.judge({"sound"}), part_verdict::clear);
+}
+
+/// The gateway that lost a sound request at two crashes hears last of the deadly one.
+Test(crash_attribution, request_is_not_quarantined_before_the_other_gateways_can_report)
+{
+    auto a = for_requests();
+    auto b = for_requests();
+    for (const auto* target : {"t-0", "t-1"})
+    {
+        crash(a, target, {"sound"}, start, false);
+        crash(b, target, {"deadly"}, start, false);
+    }
+    a.decide(start + milliseconds{25});
+    cr_assert_eq(a.judge({"sound"}), part_verdict::held);
+    a.merge(b.to_broadcast(start), start + milliseconds{50});
+    cr_assert_neq(verdict_after(a, {"sound"}, start), part_verdict::quarantined);
+}
--- a/tests/platform/gateway_deadly_request_test.cpp
+++ b/tests/platform/gateway_deadly_request_test.cpp
@@ -22,12 +22,20 @@
 /// Gateways hear from each other within this time; the rule allows 3 s.
 constexpr common::milliseconds pause_between_repeats{100};
 
+/// When the targets of the tests write the head of a stream.
+enum class head_time : std::uint8_t
+{
+    at_once,
+    with_first_event
+};
+
 /// Targets that end when they begin to run a request with the deadly body.
 class fragile_targets
 {
 public:
     /// With `is_group`, the targets of the service `engine` are ranks of a group.
-    explicit fragile_targets(bool is_group = false) : m_deployment{2}
+    explicit fragile_targets(bool is_group = false, head_time heads = head_time::at_once)
+        : m_deployment{2}, m_heads{heads}
     {
         constexpr int targets = 8;
         for (const auto* service : {"plain", "engine"})
@@ -88,26 +96,30 @@
     void answer(std::size_t index, const io::http_request& request, const reply& out)
     {
         const bool is_stream = request.path.starts_with("/draft/");
-        if (is_stream)
+        if (is_stream && m_heads == head_time::at_once)
             out.write(stream_head(request));
         if (request.body == deadly_body || std::exchange(m_crashes_next, false))
             return m_targets[index]->crash();
         if (!is_stream)
             return out.write(whole_answer(request, 200, "done"));
+        if (m_heads == head_time::with_first_event)
+            out.write(stream_head(request));
         for (int i = 1; i <= last_event; ++i)
             out.write(stream_event(i));
         out.write(io::last_chunk);
     }
 
     gateway_deployment m_deployment;
+    head_time m_heads;
     std::vector<scripted_target*> m_targets;
     int m_calls = 0;
     bool m_crashes_next = false;
 };
 
-void check_deadly_request(const std::string& path, bool is_group)
+void check_deadly_request(const std::string& path, bool is_group,
+                          head_time heads = head_time::at_once)
 {
-    fragile_targets targets{is_group};
+    fragile_targets targets{is_group, heads};
     cr_assert_eq(targets.call_sound(path).answer.status, 200);
     constexpr int repeats = 10;
     for (int i = 0; i < repeats; ++i)
@@ -152,6 +164,13 @@
     cr_assert_eq(targets.call_sound("/draft/x").answer.status, 200);
 }
 
+/// Guards against a request that crashed rank after rank of a group, since a loss before the
+/// response head was no evidence there.
+Test(gateway_deadly_request, stream_of_a_group_without_heads_reaches_few_targets)
+{
+    check_deadly_request("/draft/x", true, head_time::with_first_event);
+}
+
 Test(gateway_deadly_request, restarted_gateway_knows_the_request)
 {
     fragile_targets targets;
@@ -206,3 +225,12 @@
     cr_assert_eq(targets.call_sound("/draft/x").answer.status, 200);
     cr_assert_eq(targets.crashed(), 2);
 }
+
+/// The same in a group whose ranks write no head before the first event.
+Test(gateway_deadly_request, request_without_head_that_met_one_crash_of_a_group_is_served)
+{
+    fragile_targets targets{true, head_time::with_first_event};
+    targets.crash_at_next_request();
+    cr_assert_eq(targets.call_sound("/draft/x").answer.status, 200);
+    cr_assert_eq(targets.crashed(), 1);
+}
