Answer the calls that wait when a gateway shuts down

Cause: the shutdown stopped the loop at 95 % of the grace period with the queues as they were; the queue knew the deadlines of calls, but not that of the process. Evidence: the log has shutdown_begun and stopped, both with open_calls=15, and for the three neither request_refused nor attempt_sent. Ruled out with that: answers that are lost in the socket, and calls that are sent just before the exit.

Change: during a shutdown the queue gives back what can't end in the time that is left, by the order of the calls, the measured start rate and the mean response time; it is refused at once as not run. While nothing is known, calls wait until new calls are refused too (35 % of the grace period). At 95 % each open call gets a last answer, and the process ends once these are sent. The same at the drain limit of kqg-router, and of kqg-agent for calls that wait for their first slot.

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -18,6 +18,8 @@
 
 constexpr milliseconds expire_period{50};
 constexpr milliseconds idle_check_period{20};
+/// How long the last answers may take to be sent.
+constexpr milliseconds last_answer_time{200};
 constexpr milliseconds max_duration{30LL * 24 * 3600 * 1000};
 constexpr std::string_view drain_path = "/kqg/drain";
 constexpr int http_ok = 200;
@@ -223,7 +225,17 @@
                                         m_loop.stop();
                                 });
     if (m_settings.drain_limit.count() > 0)
-        m_drain_limit_timer = m_loop.after(m_settings.drain_limit, [this] { m_loop.stop(); });
+        m_drain_limit_timer = m_loop.after(m_settings.drain_limit, [this] { end_open_calls(); });
+}
+
+/// Refuses the calls that wait for a slot and stops once that was sent. Calls that the target has
+/// end without an answer: their outcome is unknown.
+void agent::end_open_calls()
+{
+    const auto open = m_exchanges;
+    for (const auto& [id, it] : open)
+        it->refuse_waiting();
+    m_drain_limit_timer = m_loop.after(last_answer_time, [this] { m_loop.stop(); });
 }
 
 } // namespace kumquatgap::agent
--- a/source/agent/agent.hpp
+++ b/source/agent/agent.hpp
@@ -86,6 +86,7 @@
     void start_calls();
     void start_draining(std::string_view reason);
     void begin_shutdown();
+    void end_open_calls();
     bool is_draining() const { return m_drain_requested || m_host_is_draining; }
 
     agent_settings m_settings;
--- a/source/agent/exchange.cpp
+++ b/source/agent/exchange.cpp
@@ -102,6 +102,13 @@
     refuse({result_code::deadline_unreachable, "no slot was free in time"});
 }
 
+void exchange::refuse_waiting()
+{
+    const bool has_run = m_started != common::timestamp{};
+    if (!m_finished && !has_run && m_agent.queue().withdraw(m_id))
+        refuse({result_code::target_draining, "the agent shuts down"});
+}
+
 void exchange::claim()
 {
     const auto fingerprint = common::sha256_hex(
--- a/source/agent/exchange.hpp
+++ b/source/agent/exchange.hpp
@@ -35,6 +35,8 @@
     std::optional<common::milliseconds> preempt();
     /// Refuses the call; its latest start time passed in the queue.
     void expired();
+    /// Refuses the call if it waits for its first slot, since the agent is about to exit.
+    void refuse_waiting();
 
 private:
     void claim();
--- a/source/core/policy/admission_queue.cpp
+++ b/source/core/policy/admission_queue.cpp
@@ -1,6 +1,7 @@
 #include "policy/admission_queue.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace kumquatgap::policy
 {
@@ -36,7 +37,7 @@
     m_starts.clear();
 }
 
-std::optional<double> admission_queue::start_rate(timestamp now) const
+std::optional<double> admission_queue::measured_start_rate(timestamp now) const
 {
     const auto measured = std::min(m_options.rate_window,
                                    std::chrono::duration_cast<milliseconds>(now - m_waiting_since));
@@ -44,8 +45,23 @@
         return std::nullopt;
     const auto n =
         std::ranges::count_if(m_starts, [&](timestamp at) { return now - at <= measured; });
-    const auto rate = static_cast<double>(n) * ms_per_s / static_cast<double>(measured.count());
-    return std::max(rate, m_options.min_start_rate);
+    return static_cast<double>(n) * ms_per_s / static_cast<double>(measured.count());
+}
+
+std::optional<double> admission_queue::start_rate(timestamp now) const
+{
+    const auto rate = measured_start_rate(now);
+    return rate ? std::optional{std::max(*rate, m_options.min_start_rate)} : std::nullopt;
+}
+
+/// The start rate that decides which calls can still be served in a shutdown; none while that
+/// can't be told. Later in the shutdown only starts that were measured count.
+std::optional<double> admission_queue::shutdown_start_rate(const remaining_time& left,
+                                                           timestamp now) const
+{
+    if (now >= left.patience_ends_at)
+        return measured_start_rate(now);
+    return m_halted_slots ? std::nullopt : start_rate(now);
 }
 
 milliseconds admission_queue::retry_after(timestamp now, double draw) const
@@ -136,4 +152,29 @@
     return out;
 }
 
+std::vector<std::uint64_t> admission_queue::take_unfinishable(const remaining_time& left,
+                                                              timestamp now)
+{
+    const auto rate = shutdown_start_rate(left, now);
+    if (!rate)
+        return {};
+    std::vector<waiting_call> in_order;
+    std::ranges::transform(m_calls, std::back_inserter(in_order),
+                           [](const auto& it) { return it.second; });
+    std::ranges::stable_sort(in_order,
+                             [&](const auto& a, const auto& b) { return goes_before(a, b, now); });
+    const auto time_to_start = std::chrono::duration<double, std::milli>(left.ends_at - now) -
+                               std::chrono::duration<double, std::milli>(left.run_time);
+    const auto servable = std::max(0.0, time_to_start.count() / ms_per_s * *rate);
+    std::vector<std::uint64_t> out;
+    for (std::size_t i = 0; i < in_order.size(); ++i)
+    {
+        if (static_cast<double>(i) >= servable && !in_order[i].is_answered_in_part)
+            out.push_back(in_order[i].id);
+    }
+    for (const auto id : out)
+        m_calls.erase(id);
+    return out;
+}
+
 } // namespace kumquatgap::policy
--- a/source/core/policy/admission_queue.hpp
+++ b/source/core/policy/admission_queue.hpp
@@ -27,6 +27,19 @@
     /// A call that starts after this is not served, since its caller has left by its first
     /// response.
     timestamp deadline;
+    /// The caller has got a part of the response, so the call can't be refused any more.
+    bool is_answered_in_part = false;
+};
+
+/// The time that the calls of a process have left when it shuts down.
+struct remaining_time
+{
+    /// Calls that have not ended by then are cut off.
+    timestamp ends_at;
+    /// From then on a call is refused if no start rate shows that it will be served.
+    timestamp patience_ends_at;
+    /// How long a call usually takes at a target; 0 when nothing is known.
+    milliseconds run_time{0};
 };
 
 /// The limits of an admission queue.
@@ -81,6 +94,9 @@
     /// Removes and returns the calls whose deadline is before `available_at`, the time at which the
     /// first target accepts calls again.
     std::vector<std::uint64_t> take_unservable(timestamp available_at);
+    /// Removes and returns the calls that are predicted not to end in the time that is left, in
+    /// the order in which they would have started. Calls that are answered in part stay.
+    std::vector<std::uint64_t> take_unfinishable(const remaining_time& left, timestamp now);
     /// No call can start until a group of targets has re-formed; then `slots` calls can start at
     /// once. Until then at most `slots` calls may wait, since no start rate can be measured.
     void halt(std::size_t slots) { m_halted_slots = slots; }
@@ -97,6 +113,8 @@
 
 private:
     void add(const waiting_call& call, timestamp now);
+    std::optional<double> measured_start_rate(timestamp now) const;
+    std::optional<double> shutdown_start_rate(const remaining_time& left, timestamp now) const;
     bool goes_before(const waiting_call& a, const waiting_call& b, timestamp now) const;
 
     admission_queue_options m_options;
--- a/source/core/policy/least_load_picker.cpp
+++ b/source/core/policy/least_load_picker.cpp
@@ -1,6 +1,7 @@
 #include "policy/least_load_picker.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace kumquatgap::policy
@@ -100,6 +101,20 @@
     return out;
 }
 
+milliseconds least_load_picker::mean_response_time() const
+{
+    double sum = 0;
+    int n = 0;
+    for (const auto& [target, it] : m_health)
+    {
+        if (it.response_ms == 0)
+            continue;
+        sum += it.response_ms;
+        ++n;
+    }
+    return milliseconds{n == 0 ? 0 : std::llround(sum / n)};
+}
+
 double least_load_picker::slowness(const std::string& target, double fastest_ms) const
 {
     const auto it = m_health.find(target);
--- a/source/core/policy/least_load_picker.hpp
+++ b/source/core/policy/least_load_picker.hpp
@@ -83,6 +83,8 @@
     std::string pick(const std::vector<placement_candidate>& candidates,
                      const std::set<std::string>& tried, timestamp now, double draw) const;
     bool is_ejected(const std::string& target, timestamp now) const;
+    /// The mean response time of good ends over the targets; 0 before the first one.
+    milliseconds mean_response_time() const;
 
 private:
     struct health_state
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -128,8 +128,12 @@
     const auto leaves_at = m_route->caller_event_timeout.count() == 0
                                ? m_deadline
                                : since + m_route->caller_event_timeout;
-    return {m_number, m_priority, since, since + m_route->goal - expected,
-            std::min(m_deadline, leaves_at) - expected};
+    return {.id = m_number,
+            .priority = m_priority,
+            .arrived = since,
+            .in_time_until = since + m_route->goal - expected,
+            .deadline = std::min(m_deadline, leaves_at) - expected,
+            .is_answered_in_part = m_responder->is_started()};
 }
 
 void exchange::requeue()
@@ -348,7 +352,9 @@
 {
     if (m_responder->is_started())
         return fail(result_code::stream_cut, detail);
-    const auto retry_after = retry_after_time();
+    // Another gateway may serve the call at once when this one is about to exit.
+    const auto retry_after =
+        code == result_code::router_draining ? retry_after_draining : retry_after_time();
     m_responder->reply(m_gateway.adapter().error_response({code, detail, retry_after}));
     end("request_refused", code, common::info(code).http_status);
 }
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -35,8 +35,12 @@
     void start();
     /// Sends the call to a target.
     void send_to(const fleet::target& it);
-    /// Ends a call that was removed from the queue without being sent.
-    void handle_queue_timeout();
+    /// Ends a call that was removed from the queue without being sent; `why` is the code if no
+    /// earlier attempt can have been executed.
+    void handle_not_started(common::result_code why);
+    /// Ends a call for which there is no time left. `why` is the code of a call that was certainly
+    /// not executed.
+    void end_unanswered(common::result_code why);
     /// Checks the deadline and whether the current attempt has stalled.
     void check_timeouts(timestamp now);
 
@@ -71,7 +75,6 @@
     bool has_fallback_response() const;
     void forward_response(const io::http_response& response);
     void finish_stream();
-    void handle_deadline();
     /// True before the first event of a call that crashes targets, itself or by a part of its
     /// prompt.
     bool is_quarantined() const;
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-void exchange::handle_queue_timeout()
+void exchange::handle_not_started(result_code why)
 {
     if (m_ended || !m_is_queued)
         return;
@@ -34,16 +34,18 @@
     if (has_fallback_response())
         return forward_response(*m_fallback);
     if (m_attempts.is_certainly_not_executed())
-        return refuse(result_code::deadline_unreachable, "");
+        return refuse(why, "");
     fail(result_code::outcome_unknown, "no other target had a place");
 }
 
-void exchange::handle_deadline()
+void exchange::end_unanswered(result_code why)
 {
+    if (m_ended)
+        return;
     if (m_is_queued)
         m_gateway.service(m_service).queue.remove(m_number);
     if (m_is_queued)
-        return handle_queue_timeout();
+        return handle_not_started(why);
     if (m_attempt && m_attempt->may_have_reached_target())
         m_attempts.end(attempt_outcome::unknown);
     if (m_attempt)
@@ -51,7 +53,7 @@
     if (has_fallback_response())
         return forward_response(*m_fallback);
     if (m_attempts.is_certainly_not_executed())
-        return refuse(result_code::deadline_unreachable, "");
+        return refuse(why, "");
     fail(result_code::target_timeout, "");
 }
 
@@ -84,7 +86,7 @@
     if (is_quarantined())
         return handle_quarantine();
     if (now >= m_deadline)
-        return handle_deadline();
+        return end_unanswered(result_code::deadline_unreachable);
     if (!m_attempt)
         return;
     if (may_crash_target())
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -20,15 +20,6 @@
 
 /// How often queueing times, deadlines and stalls are checked.
 constexpr milliseconds tick_period{25};
-/// New connections arrive until two readiness probes of the load balancer have failed; after that
-/// callers reuse open connections. Calls after this fraction of the grace period are refused, since
-/// too little of it would remain for a long stream.
-constexpr double accepting_fraction_of_grace = 0.35;
-/// The process exits after this fraction of the grace period, even with open calls.
-constexpr double exit_fraction_of_grace = 0.95;
-/// New connections may still arrive for this long after SIGTERM.
-constexpr milliseconds settle_time{2500};
-constexpr milliseconds idle_check_period{50};
 /// How often the rate limits of targets are broadcast.
 constexpr milliseconds limits_broadcast_period{250};
 constexpr milliseconds store_calls_log_period{10'000};
@@ -42,11 +33,6 @@
     std::to_array<std::string_view>({"process.log_level", "gateway.grace_ms", "retries.ratio",
                                      "retries.extra", "retries.window_ms"});
 
-milliseconds fraction_of(milliseconds d, double fraction)
-{
-    return milliseconds{static_cast<std::int64_t>(static_cast<double>(d.count()) * fraction)};
-}
-
 io::http_limits to_http_limits(const fleet::caller_limits& it)
 {
     return {it.body_bytes, it.header_bytes, it.header_timeout, it.idle_timeout};
@@ -321,7 +307,7 @@
         for (const auto id : state.queue.take_expired(now))
         {
             if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
-                it->second->handle_queue_timeout();
+                it->second->handle_not_started(common::result_code::deadline_unreachable);
         }
         update_queue_halt(name, state, now);
         update_latency_model(name, state, now);
@@ -366,7 +352,7 @@
     for (const auto id : state.queue.take_unservable(*available_at))
     {
         if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
-            it->second->handle_queue_timeout();
+            it->second->handle_not_started(common::result_code::deadline_unreachable);
     }
 }
 
@@ -443,26 +429,4 @@
     m_retry_budget.set_limits(m_settings.retries);
 }
 
-void gateway::begin_shutdown()
-{
-    if (std::exchange(m_is_shutting_down, true))
-        return;
-    m_shutdown_started_at = common::now();
-    common::log(common::log_level::info, "shutdown_begun",
-                {{"open_calls", static_cast<std::int64_t>(m_exchanges.size())}});
-    m_server.close_after_replies();
-    m_idle_timer = m_loop.every(idle_check_period, [this] { stop_when_idle(); });
-}
-
-void gateway::stop_when_idle()
-{
-    const auto passed = common::now() - m_shutdown_started_at;
-    m_refuses_calls = passed > fraction_of(m_settings.grace, accepting_fraction_of_grace);
-    // Callers keep idle connections open until the process exits, so these are not waited for.
-    const bool is_idle = m_exchanges.empty() && !m_server.is_busy();
-    const bool has_settled = m_refuses_calls && passed > settle_time;
-    if ((is_idle && has_settled) || passed > fraction_of(m_settings.grace, exit_fraction_of_grace))
-        m_loop.stop();
-}
-
 } // namespace kumquatgap::gateway
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -138,6 +138,8 @@
     void reload_settings(const std::string& text);
     void begin_shutdown();
     void stop_when_idle();
+    void refuse_unfinishable_calls(timestamp now);
+    void end_open_calls();
     bool is_ready() const;
 
     io::event_loop& m_loop;
--- a/source/router/exchange.cpp
+++ b/source/router/exchange.cpp
@@ -298,6 +298,12 @@
     finish(error.code);
 }
 
+void exchange::end_unanswered()
+{
+    if (!m_finished)
+        respond_with_failure({result_code::outcome_unknown, "the router shuts down"});
+}
+
 void exchange::finish(result_code code)
 {
     if (std::exchange(m_finished, true))
--- a/source/router/exchange.hpp
+++ b/source/router/exchange.hpp
@@ -27,6 +27,9 @@
     exchange(router& owner, io::received_request received, io::responder_ptr caller);
 
     void start();
+    /// Ends a call for which there is no time left. An agent may have it, so its answer promises
+    /// nothing.
+    void end_unanswered();
 
 private:
     void start_attempt();
--- a/source/router/router.cpp
+++ b/source/router/router.cpp
@@ -18,6 +18,8 @@
 constexpr double retry_fraction = 0.1;
 constexpr double retry_reserve = 20;
 constexpr milliseconds idle_check_period{20};
+/// How long the last answers may take to be sent.
+constexpr milliseconds last_answer_time{200};
 constexpr milliseconds max_duration{24 * 3600 * 1000};
 constexpr int minutes_a_day = 24 * 60;
 
@@ -145,7 +147,18 @@
                                             stop_when_idle();
                                         });
     if (m_settings.drain_limit.count() > 0)
-        m_drain_limit_timer = m_loop.after(m_settings.drain_limit, [this] { m_loop.stop(); });
+        m_drain_limit_timer = m_loop.after(m_settings.drain_limit, [this] { end_open_calls(); });
+}
+
+/// Gives each open call its last answer and stops once these were sent.
+void router::end_open_calls()
+{
+    m_draining = true;
+    const auto open = m_exchanges;
+    for (const auto& [key, it] : open)
+        it->end_unanswered();
+    stop_when_idle();
+    m_drain_limit_timer = m_loop.after(last_answer_time, [this] { m_loop.stop(); });
 }
 
 void router::stop_when_idle()
--- a/source/router/router.hpp
+++ b/source/router/router.hpp
@@ -73,6 +73,7 @@
     void handle(io::received_request received, io::responder_ptr responder);
     void begin_shutdown();
     void stop_when_idle();
+    void end_open_calls();
 
     router_settings m_settings;
     io::event_loop m_loop;
--- a/source/unit_tests/policy/admission_queue_test.cpp
+++ b/source/unit_tests/policy/admission_queue_test.cpp
@@ -278,3 +278,76 @@
     queue.resume(later);
     cr_assert_not(queue.start_rate(later + milliseconds{100}).has_value());
 }
+
+namespace
+{
+
+constexpr milliseconds call_patience{20'000};
+constexpr milliseconds rate_period{100};
+
+waiting_call patient_call(std::uint64_t id, timestamp at)
+{
+    return {id, 1, at, at + call_patience, at + call_patience};
+}
+
+/// A queue with `n` calls that has started one in each rate_period for two seconds; returns the
+/// time of the last start.
+timestamp start_regularly(admission_queue& queue, std::uint64_t n)
+{
+    constexpr int starts = 20;
+    auto now = start;
+    for (std::uint64_t id = 0; id < n + starts; ++id)
+        queue.offer(patient_call(id, now), now, 0.5);
+    for (int i = 0; i < starts; ++i)
+    {
+        now += rate_period;
+        queue.started(*queue.next(now), now);
+    }
+    return now;
+}
+
+} // namespace
+
+/// Guards against calls that waited until the process exited: at ten starts a second and three
+/// seconds, of which a call takes one, twenty can be served.
+Test(admission_queue, shutdown_refuses_what_can_not_end_in_time)
+{
+    admission_queue queue{{}};
+    const auto now = start_regularly(queue, 30);
+    const remaining_time left{now + milliseconds{3000}, now + milliseconds{1000},
+                              milliseconds{1000}};
+    const auto refused = queue.take_unfinishable(left, now);
+    cr_assert_eq(refused.size(), 10U);
+    cr_assert_eq(refused.front(), 40U, "those that would start last");
+    cr_assert_eq(queue.size(), 20U);
+    cr_assert(queue.take_unfinishable(left, now).empty());
+}
+
+/// Guards against refusing at once what may still be served: that nothing starts is known only
+/// after a time.
+Test(admission_queue, shutdown_keeps_calls_while_nothing_is_known)
+{
+    admission_queue queue{{}};
+    queue.offer(patient_call(1, start), start, 0.5);
+    queue.offer(patient_call(2, start), start, 0.5);
+    const auto ends_at = start + milliseconds{6000};
+    const auto patience_ends_at = start + milliseconds{2000};
+    for (auto now = start; now < patience_ends_at; now += rate_period)
+        cr_assert(queue.take_unfinishable({ends_at, patience_ends_at, {}}, now).empty());
+    queue.started(1, patience_ends_at);
+    cr_assert(queue.take_unfinishable({ends_at, patience_ends_at, {}}, patience_ends_at).empty(),
+              "a start shows that calls are served");
+    const auto later = patience_ends_at + milliseconds{2100};
+    cr_assert_eq(queue.take_unfinishable({ends_at, patience_ends_at, {}}, later).size(), 1U);
+}
+
+Test(admission_queue, shutdown_does_not_refuse_calls_that_are_answered_in_part)
+{
+    admission_queue queue{{}};
+    auto call = patient_call(1, start);
+    call.is_answered_in_part = true;
+    queue.requeue(call, start);
+    const auto now = start + milliseconds{3000};
+    cr_assert(queue.take_unfinishable({now, now, {}}, now).empty());
+    cr_assert_eq(queue.size(), 1U);
+}
--- a/tests/failures/leaving_test.cpp
+++ b/tests/failures/leaving_test.cpp
@@ -195,3 +195,41 @@
         d.wait_until([&] { return d.call(d.address("router-1"), order("r-0")).status == 201; }));
     cr_assert_eq(d.executions().at("r-0"), 1);
 }
+
+/// Guards against calls that ended without an answer at the drain limit.
+Test(shutdown, a_router_answers_open_calls_at_its_drain_limit)
+{
+    plan p;
+    p.routers = 1;
+    p.targets = {{"orders-a", "orders"}};
+    p.router_settings = "drain_limit_ms=500\n";
+    deployment d{p};
+    d.order_fault("orders", "kind=slow&delay_ms=5000");
+    const auto call = d.begin(d.address("router-0"), order("r-0"));
+    cr_assert(
+        d.wait_until([&] { return d.metric("agent-orders-a", "kqg_calls_in_service") == 1; }));
+    d.at("router-0").signal(SIGTERM);
+    cr_assert(d.wait_until([&] { return call->ended; }));
+    cr_assert_eq(call->result.code(), common::number(result_code::outcome_unknown));
+    cr_assert_eq(d.at("router-0").wait(), 0);
+}
+
+/// Guards against calls that waited for a slot, and whose outcome was unknown at the drain limit
+/// although they had not been executed.
+Test(shutdown, an_agent_refuses_waiting_calls_at_its_drain_limit)
+{
+    plan p;
+    p.routers = 1;
+    p.targets = {{"orders-a", "orders", 1}};
+    p.agent_settings = "drain_limit_ms=500\n";
+    deployment d{p};
+    d.order_fault("orders", "kind=slow&delay_ms=5000");
+    const auto first = d.begin(d.address("router-0"), order("r-0"));
+    const auto second = d.begin(d.address("router-0"), order("r-1"));
+    cr_assert(d.wait_until([&] { return d.metric("agent-orders-a", "kqg_calls_waiting") == 1; }));
+    d.at("agent-orders-a").signal(SIGTERM);
+    cr_assert(d.wait_until([&] { return second->ended || first->ended; }));
+    const auto& refused = second->ended ? second : first;
+    cr_assert(common::is_not_run(static_cast<result_code>(refused->result.code())));
+    cr_assert_eq(d.at("agent-orders-a").wait(), 0);
+}
