Leave a silent target only once another one has a slot

Cause: leave_target gave the attempt up first and asked for a place afterwards. It looked for another usable target, not for a free slot, and asked for attempts left before it counted the one it gave up. Evidence: the end comes at 85 % of the time that the caller waits, the bound of the queue, and the same happens without a shutdown. Ruled out: a cut by the shutdown, which comes at 95 % of the grace period.

Change: a call that should leave its target is queued while its attempt goes on, and leaves in the step in which another target's slot is given to it, if the attempts and the retry budget allow the next attempt. If its target goes on meanwhile it stays. A dead target is left with the first free slot, in the order of the queue as before, and is avoided for new calls from the moment it is found silent. A queued call that can't use the free targets no longer holds up those behind it.

--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -147,6 +147,7 @@
 void exchange::send_to(const fleet::target& it)
 {
     m_is_queued = false;
+    m_is_target_reported = false;
     const auto now = common::now();
     const auto time_left = m_deadline - now;
     if (!m_first_sent_at)
@@ -248,6 +249,7 @@
 {
     if (m_ended)
         return;
+    leave_queue();
     m_attempts.end(outcome);
     m_gateway.metrics().count(
         common::concat("kqg_attempts_total{outcome=\"", fleet::name_of(outcome), "\"}"));
@@ -375,9 +377,7 @@
 /// Ends a call that is queued or that its target has not begun to answer.
 void exchange::handle_quarantine()
 {
-    if (m_is_queued)
-        m_gateway.service(m_service).queue.remove(m_number);
-    m_is_queued = false;
+    leave_queue();
     if (m_attempt && m_attempt->may_have_reached_target())
         m_attempts.end(attempt_outcome::unknown);
     if (m_attempt)
@@ -430,8 +430,7 @@
 {
     if (m_ended)
         return;
-    if (m_is_queued)
-        m_gateway.service(m_service).queue.remove(m_number);
+    leave_queue();
     if (m_attempt)
         m_attempt->cancel(target_health::unknown);
     end("caller_gone", result_code::caller_gone, 0);
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -25,18 +25,22 @@
     ~exchange() override;
 
     std::uint64_t number() const { return m_number; }
-    /// Targets to which this call must not be sent again.
-    const std::set<std::string>& tried_targets() const { return m_tried; }
+    /// Targets to which this call must not be sent now: those that it has tried, and the one that
+    /// has it.
+    std::set<std::string> excluded_targets() const;
     /// What the crash guard recognises this call by.
     const call_marks& marks() const { return m_marks; }
     /// The route's target for the longest gap between two events; 0 for none.
     milliseconds gap_goal() const { return m_route->gap_goal; }
     /// Checks the request, and refuses or queues it.
     void start();
+    /// Ends the attempt that a queued call leaves for the slot that it gets now, if it has one;
+    /// false if the call stays with its target after all, and is no longer queued.
+    bool leave_target(timestamp now);
     /// Sends the call to a target.
     void send_to(const fleet::target& it);
-    /// Ends a call that was removed from the queue without being sent; `why` is the code if no
-    /// earlier attempt can have been executed.
+    /// A call was removed from the queue without being sent. It ends unless a target has it; `why`
+    /// is the code if no earlier attempt can have been executed.
     void handle_not_started(common::result_code why);
     /// Ends a call for which there is no time left. `why` is the code of a call that was certainly
     /// not executed.
@@ -69,9 +73,21 @@
     bool is_stalled(const attempt& it, timestamp now) const;
     /// True when this stream keeps a slow target in use for which the streams of a group wait.
     bool is_on_slow_target(const attempt& it, timestamp now) const;
-    /// Ends the current attempt and sends the call to another target, if there is one and the
-    /// retries allow it. `event` is the log event, `health` what it says about the target.
-    void leave_target(std::string_view event, policy::target_health health, timestamp now);
+    /// Why a call should leave a target that has it.
+    struct leave_reason
+    {
+        /// The log event.
+        std::string_view event;
+        /// What it says about the target.
+        policy::target_health health;
+    };
+    std::optional<leave_reason> reason_to_leave(timestamp now) const;
+    /// True when the attempts and the retry budget allow another attempt, and another target is
+    /// usable.
+    bool can_leave(timestamp now) const;
+    /// Queues the call for another target. Its attempt goes on until that has a slot.
+    void seek_other_target(const leave_reason& why, timestamp now);
+    void leave_queue();
     bool has_fallback_response() const;
     void forward_response(const io::http_response& response);
     void finish_stream();
@@ -119,7 +135,11 @@
     std::string m_last_event_id;
     std::int64_t m_last_event_number = -1;
     std::int64_t m_event_count = 0;
+    /// The call waits in the queue. If it has an attempt, it leaves that once another target has a
+    /// slot.
     bool m_is_queued = false;
+    /// The picker knows that the target of the current attempt should be avoided.
+    bool m_is_target_reported = false;
     /// The last retry that this call asked for was refused.
     bool m_retry_refused = false;
     bool m_ended = false;
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -31,6 +31,9 @@
     if (m_ended || !m_is_queued)
         return;
     m_is_queued = false;
+    // Its target may still serve it.
+    if (m_attempt)
+        return;
     if (has_fallback_response())
         return forward_response(*m_fallback);
     if (m_attempts.is_certainly_not_executed())
@@ -42,10 +45,12 @@
 {
     if (m_ended)
         return;
+    const bool is_waiting = m_is_queued && !m_attempt;
     if (m_is_queued)
         m_gateway.service(m_service).queue.remove(m_number);
-    if (m_is_queued)
+    if (is_waiting)
         return handle_not_started(why);
+    m_is_queued = false;
     if (m_attempt && m_attempt->may_have_reached_target())
         m_attempts.end(attempt_outcome::unknown);
     if (m_attempt)
@@ -91,10 +96,10 @@
         return;
     if (may_crash_target())
         return withdraw(now);
-    if (is_stalled(*m_attempt, now))
-        return leave_target("attempt_stalled", target_health::transport_failure, now);
-    if (is_on_slow_target(*m_attempt, now))
-        leave_target("slow_target_left", target_health::unknown, now);
+    if (const auto why = reason_to_leave(now))
+        seek_other_target(*why, now);
+    else
+        leave_queue();
 }
 
 bool exchange::may_crash_target() const
@@ -122,17 +127,61 @@
     requeue();
 }
 
-void exchange::leave_target(std::string_view event, target_health health, timestamp now)
+std::set<std::string> exchange::excluded_targets() const
+{
+    auto out = m_tried;
+    if (m_attempt)
+        out.insert(m_attempt->target().id);
+    return out;
+}
+
+std::optional<exchange::leave_reason> exchange::reason_to_leave(timestamp now) const
+{
+    if (is_stalled(*m_attempt, now))
+        return leave_reason{"attempt_stalled", target_health::transport_failure};
+    if (is_on_slow_target(*m_attempt, now))
+        return leave_reason{"slow_target_left", target_health::unknown};
+    return std::nullopt;
+}
+
+bool exchange::can_leave(timestamp now) const
+{
+    auto attempts = m_attempts;
+    attempts.end(attempt_outcome::unknown);
+    return attempts.may_retry() && m_gateway.retry_budget().state(m_service, now).left() >= 1 &&
+           fleet::next_target_after(attempt_outcome::unknown,
+                                    m_gateway.targets().usable(m_service, now),
+                                    excluded_targets()) == fleet::next_target::untried;
+}
+
+void exchange::seek_other_target(const leave_reason& why, timestamp now)
 {
-    // An attempt is abandoned only if another target can take the call.
-    auto tried = m_tried;
-    tried.insert(m_attempt->target().id);
-    if (fleet::next_target_after(attempt_outcome::unknown,
-                                 m_gateway.targets().usable(m_service, now),
-                                 tried) != fleet::next_target::untried ||
-        !claim_retry(attempt_outcome::unknown))
+    if (m_is_queued || !can_leave(now))
         return;
-    common::log(common::log_level::info, event,
+    // Reported before the call leaves, so that no other call is sent to a silent target meanwhile.
+    if (!std::exchange(m_is_target_reported, true))
+        m_gateway.service(m_service).picker.ended(m_attempt->target().id, 0, why.health,
+                                                  milliseconds{0}, now);
+    requeue();
+}
+
+void exchange::leave_queue()
+{
+    if (std::exchange(m_is_queued, false))
+        m_gateway.service(m_service).queue.remove(m_number);
+}
+
+bool exchange::leave_target(timestamp now)
+{
+    if (!m_attempt)
+        return true;
+    const auto why = reason_to_leave(now);
+    if (!why || !can_leave(now) || !claim_retry(attempt_outcome::unknown))
+    {
+        leave_queue();
+        return false;
+    }
+    common::log(common::log_level::info, why->event,
                 {{"id", m_caller.id},
                  {"target", m_attempt->target().id},
                  {"events", m_event_count},
@@ -142,11 +191,9 @@
                  {"silent_ms", (now - m_attempt->last_activity()).count()}});
     m_attempts.end(attempt_outcome::unknown);
     m_tried.insert(m_attempt->target().id);
-    m_attempt->cancel(health);
+    m_attempt->cancel(target_health::unknown);
     release_attempt(*m_attempt);
-    if (m_attempts.may_retry())
-        return requeue();
-    fail(result_code::target_timeout, "");
+    return true;
 }
 
 } // namespace kumquatgap::gateway
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -239,7 +239,7 @@
         candidates.push_back(
             {t->id, limit, t->data_centre == m_settings.common.data_centre ? 0 : 1});
     }
-    return state.picker.pick(candidates, it.tried_targets(), now, random());
+    return state.picker.pick(candidates, it.excluded_targets(), now, random());
 }
 
 /// False for a queued call whose prompt may crash its target.
@@ -268,11 +268,13 @@
     auto& state = m_services[name];
     const auto now = common::now();
     refuse_unreachable_deadlines(name, state, now);
+    std::set<std::uint64_t> unplaced;
     while (now >= state.paused_until)
     {
         if (state.is_recovering && !state.picker.own_loads().empty())
             return;
-        const auto id = state.queue.next(now, [&](std::uint64_t it) { return may_start(it, now); });
+        const auto id = state.queue.next(now, [&](std::uint64_t it)
+                                         { return !unplaced.contains(it) && may_start(it, now); });
         if (!id)
             return;
         const auto found = m_exchanges.find(*id);
@@ -284,7 +286,15 @@
         const auto it = found->second;
         const auto target = pick_target(name, state, *it, now);
         if (target.empty())
-            return;
+        {
+            if (it->excluded_targets().empty())
+                return;
+            // Other calls may use a slot of the targets that this one excludes.
+            unplaced.insert(*id);
+            continue;
+        }
+        if (!it->leave_target(now))
+            continue;
         state.queue.started(*id, now);
         m_crash_guard.record_sent(it->marks(), now);
         m_rate_limiter.record_send(target, now);
