--- a/source/unit_tests/policy/least_load_picker_test.cpp
+++ b/source/unit_tests/policy/least_load_picker_test.cpp
@@ -84,3 +84,14 @@
     picker.sent("c", 1);
     cr_assert_eq(picks(picker, start).count("a"), 0U);
 }
+
+/// A shutdown predicts from it which calls can still end.
+Test(least_load_picker, mean_response_time_is_that_of_good_ends)
+{
+    least_load_picker picker{{}};
+    cr_assert_eq(picker.mean_response_time().count(), 0);
+    picker.ended("a", 1, target_health::good, milliseconds{100}, start);
+    picker.ended("b", 1, target_health::good, milliseconds{300}, start);
+    picker.ended("c", 1, target_health::failed, milliseconds{9000}, start);
+    cr_assert_eq(picker.mean_response_time().count(), 200);
+}
