--- a/tests/platform/gateway_moves_test.cpp
+++ b/tests/platform/gateway_moves_test.cpp
@@ -44,10 +44,10 @@
     gateway_deployment& deployment() { return m_deployment; }
 
     /// Starts streams until each has its first event.
-    std::vector<std::shared_ptr<open_call>> begin(int n)
+    std::vector<std::shared_ptr<open_call>> begin(std::size_t n)
     {
         std::vector<std::shared_ptr<open_call>> out;
-        for (int i = 0; i < n; ++i)
+        for (std::size_t i = 0; i < n; ++i)
         {
             out.push_back(
                 m_deployment.begin(m_deployment.request("/draft/x", common::concat("r", i), "{}")));
@@ -126,6 +126,17 @@
     io::timer_handle m_timer;
 };
 
+/// Starts streams, one of which its target then preempts for a time; none may be moved or cut.
+void expect_all_stay(paced_engines& engines, std::size_t streams)
+{
+    const auto calls = engines.begin(streams);
+    engines.stop_newest(preemption_time);
+    engines.expect_whole(calls);
+    for (const auto& it : calls)
+        cr_assert_eq(it->so_far, events_text(1, events));
+    cr_assert_eq(engines.request_count(), streams);
+}
+
 } // namespace
 
 /// Guards against a stream that was taken from its target for its silence, found no free slot
@@ -133,12 +144,7 @@
 Test(gateway_moves, silent_stream_stays_while_no_other_target_has_a_slot)
 {
     paced_engines engines{2};
-    const auto calls = engines.begin(4);
-    engines.stop_newest(preemption_time);
-    engines.expect_whole(calls);
-    for (const auto& it : calls)
-        cr_assert_eq(it->so_far, events_text(1, events));
-    cr_assert_eq(engines.request_count(), 4U);
+    expect_all_stay(engines, 4);
 }
 
 /// Guards against holding on to a target that is dead: the stream moves with the first free slot.
@@ -158,12 +164,7 @@
 Test(gateway_moves, silent_stream_stays_on_its_last_attempt)
 {
     paced_engines engines{3, 1};
-    const auto calls = engines.begin(2);
-    engines.stop_newest(preemption_time);
-    engines.expect_whole(calls);
-    for (const auto& it : calls)
-        cr_assert_eq(it->so_far, events_text(1, events));
-    cr_assert_eq(engines.request_count(), 2U);
+    expect_all_stay(engines, 2);
 }
 
 /// Guards against slow idempotent calls that left their targets only to take each other's slots.
