--- a/source/core/policy/admission_queue.cpp
+++ b/source/core/policy/admission_queue.cpp
@@ -65,8 +65,8 @@
     return rate ? std::optional{std::max(*rate, m_options.min_start_rate)} : std::nullopt;
 }
 
-/// The start rate that decides which calls can still be served in a shutdown; none while that
-/// can't be told. Later in the shutdown only starts that were measured count.
+/// The start rate that decides which calls can still be served in a shutdown; none while it is
+/// not known. Later in the shutdown only starts that were measured count.
 std::optional<double> admission_queue::shutdown_start_rate(const remaining_time& left,
                                                            timestamp now) const
 {
