Send no call to evacuated data centres or outside the permitted regions

The operator's key op/evacuate/DATA_CENTRE keeps all calls, retries, resumed streams and health checks from the targets of a data centre. A route and a team may name allowedRegions; the regions of the data centres come from [process] regions. target_eligibility finds all reasons against a target. Calls that no target may serve are refused at once (2015, 2016).

A line of a settings file may have 4096 bytes: inih passes on 199 only, which a table of regions exceeds.

--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -51,6 +51,10 @@
      "A part of the prompt has crashed targets."},
     {request_quarantined, "request_quarantined", 503, not_run,
      "The same request has crashed targets."},
+    {data_centre_evacuated, "data_centre_evacuated", 503, not_run,
+     "The data centres of all targets that may serve the call are being evacuated."},
+    {no_permitted_target, "no_permitted_target", 503, not_run,
+     "No target of the service is in a region that may serve the call."},
 
     {outcome_unknown, "outcome_unknown", 504, unknown,
      "The call may have run; its answer was lost."},
--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -53,6 +53,8 @@
     target_busy = 2012,
     prompt_quarantined = 2013,
     request_quarantined = 2014,
+    data_centre_evacuated = 2015,
+    no_permitted_target = 2016,
 
     outcome_unknown = 3001,
     in_progress = 3002,
--- a/source/core/common/settings.cpp
+++ b/source/core/common/settings.cpp
@@ -2,12 +2,16 @@
 
 #include "common/text.hpp"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
 #include <ini.h>
 
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <optional>
 #include <set>
+#include <vector>
 
 namespace kumquatgap::common
 {
@@ -78,6 +82,25 @@
         *s.target = value;
         return {};
     }
+
+    std::string operator()(const table_setting& s) const
+    {
+        s.target->clear();
+        const std::vector<std::string> items =
+            absl::StrSplit(std::string{value}, ',', absl::SkipWhitespace());
+        for (const auto& item : items)
+        {
+            const auto colon = std::min(item.find(':'), item.size());
+            const std::string key{absl::StripAsciiWhitespace(item.substr(0, colon))};
+            const std::string text{
+                absl::StripAsciiWhitespace(item.substr(std::min(colon + 1, item.size())))};
+            if (key.empty() || text.empty())
+                return common::concat("'", item, "' is not KEY:VALUE");
+            if (!s.target->emplace(key, text).second)
+                return common::concat("'", key, "' stands twice");
+        }
+        return {};
+    }
 };
 
 /// True when a key that the file does not set is required and its target has no default.
@@ -95,6 +118,13 @@
     {
         return std::to_string(s.target->count());
     }
+    std::string operator()(const table_setting& s) const
+    {
+        std::string out;
+        for (const auto& [key, text] : *s.target)
+            out += common::concat(key, ":", text, ",");
+        return out;
+    }
     std::string operator()(const auto& s) const { return common::concat(*s.target); }
 };
 
@@ -106,10 +136,22 @@
     int line = 0;
     std::set<std::pair<std::string, std::string>> seen = {};
     std::vector<settings_error> errors = {};
+    /// The value of a line that is longer than inih's buffer.
+    std::optional<std::string> long_value = {};
 };
 
-/// Line reader for inih: copies the next line and counts it. A line longer than the buffer is an
-/// error; its rest is skipped.
+/// The longest line of a settings file. A table of 100 data centres takes about 2,000 bytes.
+constexpr std::size_t max_line_bytes = 4096;
+
+/// The value in a line `key = value ; comment`.
+std::string value_in(std::string_view line)
+{
+    const auto value = line.substr(std::min(line.find_first_of("=:"), line.size() - 1) + 1);
+    return std::string{absl::StripAsciiWhitespace(std::string{value.substr(0, value.find(" ;"))})};
+}
+
+/// Line reader for inih: copies the next line and counts it. inih gets only the beginning of a line
+/// longer than its buffer, 200 bytes; the whole value is kept for handle_value().
 char* next_line(char* buf, int size, void* arg)
 {
     auto& state = *static_cast<read_state*>(arg);
@@ -119,8 +161,11 @@
     const auto n = std::min(end, static_cast<std::size_t>(size) - 1);
     std::memcpy(buf, state.rest.data(), n);
     buf[n] = '\0';
-    if (n < end)
+    state.long_value.reset();
+    if (end > max_line_bytes)
         state.errors.push_back({state.line + 1, "the line is too long"});
+    else if (n < end)
+        state.long_value = value_in(state.rest.substr(0, end));
     state.rest.remove_prefix(end);
     ++state.line;
     return buf;
@@ -140,7 +185,8 @@
     if (!state.seen.insert(id).second)
         state.errors.push_back(
             {state.line, common::concat("[", section, "] ", key, " stands twice")});
-    const auto text = std::visit(value_parser{value}, it->second);
+    const std::string_view whole = state.long_value ? std::string_view{*state.long_value} : value;
+    const auto text = std::visit(value_parser{whole}, it->second);
     if (!text.empty())
         state.errors.push_back({state.line, common::concat("[", section, "] ", key, ": ", text)});
     return 1;
--- a/source/core/common/settings.hpp
+++ b/source/core/common/settings.hpp
@@ -3,6 +3,7 @@
 #include "common/clock.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -59,8 +60,14 @@
     bool required = true;
 };
 
+/// A table as a list of `KEY:VALUE`, separated by commas. The list may be empty.
+struct table_setting
+{
+    std::map<std::string, std::string, std::less<>>* target;
+};
+
 using setting = std::variant<text_setting, number_setting, decimal_setting, duration_setting,
-                             flag_setting, address_setting>;
+                             flag_setting, address_setting, table_setting>;
 
 /// One error in a settings file; line 0 means the file as a whole.
 struct settings_error
--- a/source/core/fleet/configuration.hpp
+++ b/source/core/fleet/configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.hpp"
+#include "fleet/regions.hpp"
 
 #include <cstdint>
 #include <map>
@@ -73,6 +74,8 @@
     int max_attempts = 1;
     bool is_public = false;
     std::vector<service_share> shares;
+    /// The regions that may serve the route's calls.
+    permitted_regions regions = {};
 };
 
 /// The figures that the operators publish for the model engines of a service.
@@ -121,6 +124,8 @@
     std::string name;
     /// Overrides the route's priority.
     std::optional<int> priority;
+    /// The regions that may serve the team's calls; a call is also subject to those of its route.
+    permitted_regions regions = {};
 };
 
 /// The limits on callers' requests.
--- a/source/core/fleet/target_notices.cpp
+++ b/source/core/fleet/target_notices.cpp
@@ -70,6 +70,12 @@
     return std::exchange(it.per_second, limit.per_second) != limit.per_second;
 }
 
+std::optional<double> target_notices::rate_limit_of(const std::string& id) const
+{
+    const auto it = m_notices.find(id);
+    return it == m_notices.end() ? std::nullopt : it->second.per_second;
+}
+
 std::map<std::string, double> target_notices::limited() const
 {
     std::map<std::string, double> out;
--- a/source/core/fleet/target_notices.hpp
+++ b/source/core/fleet/target_notices.hpp
@@ -80,6 +80,8 @@
     /// What a response of the target said about its rate limit, unless something newer is known.
     /// True when the limit has changed.
     bool note_rate_limit(const std::string& id, const rate_limit& limit, notice_source from);
+    /// The requests per second that a target accepts; none without a limit.
+    std::optional<double> rate_limit_of(const std::string& id) const;
     /// The targets that have named a limit, with these limits.
     std::map<std::string, double> limited() const;
     /// What this gateway has heard itself and lately, for broadcast; the newest if there is more.
--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -112,12 +112,15 @@
     return claims != m_claims.end() && claims->second.rbegin()->second == it.id;
 }
 
-/// True for a target whose entry is valid, that owns its address and is not draining.
+/// True for a target whose entry is valid and that owns its address.
+bool target_table::has_valid_entry(const row& r, timestamp now) const
+{
+    return owns_address(r.entry) && (!r.kept_until || now < *r.kept_until) && now >= r.held_until;
+}
+
 bool target_table::is_in_service(const row& r, timestamp now) const
 {
-    return owns_address(r.entry) && !r.entry.is_draining &&
-           !m_notices.is_draining(r.entry.id, now) && (!r.kept_until || now < *r.kept_until) &&
-           now >= r.held_until;
+    return has_valid_entry(r, now) && !is_draining(r.entry, now);
 }
 
 bool target_table::is_registered(const std::string& id, std::int64_t started_at,
@@ -151,4 +154,15 @@
     return out;
 }
 
+std::vector<const target*> target_table::registered(std::string_view service, timestamp now) const
+{
+    std::vector<const target*> out;
+    for (const auto& [id, r] : m_rows)
+    {
+        if (r.entry.service == service && has_valid_entry(r, now))
+            out.push_back(&r.entry);
+    }
+    return out;
+}
+
 } // namespace kumquatgap::fleet
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -90,6 +90,10 @@
     {
         return m_notices.note_rate_limit(id, limit, from);
     }
+    std::optional<double> rate_limit_of(const std::string& id) const
+    {
+        return m_notices.rate_limit_of(id);
+    }
     std::map<std::string, double> limited() const { return m_notices.limited(); }
     rate_limits limits_to_broadcast(timestamp now) const
     {
@@ -106,6 +110,19 @@
     const target* find_usable(const std::string& id, timestamp now) const;
     /// All targets of a service that accept new calls, by id.
     std::vector<const target*> usable(std::string_view service, timestamp now) const;
+    /// All targets of a service whose entries are valid and that own their addresses, by id. They
+    /// may be draining or busy.
+    std::vector<const target*> registered(std::string_view service, timestamp now) const;
+    /// True when the target's entry or a notice says that it drains.
+    bool is_draining(const target& it, timestamp now) const
+    {
+        return it.is_draining || m_notices.is_draining(it.id, now);
+    }
+    /// When a registered target accepts calls again that has asked for none; none when it has not.
+    std::optional<timestamp> busy_until(const target& it, timestamp now) const
+    {
+        return m_notices.busy_until(it.id, now);
+    }
     /// True while this start of a target has an entry, or may have lost it only because the store
     /// was unreachable, and no newer entry claims its address.
     bool is_registered(const std::string& id, std::int64_t started_at, timestamp now) const;
@@ -129,6 +146,7 @@
     };
 
     bool owns_address(const target& it) const;
+    bool has_valid_entry(const row& r, timestamp now) const;
     bool is_in_service(const row& r, timestamp now) const;
     bool is_usable(const row& r, timestamp now) const;
     void drop_claim(const target& it);
--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -38,9 +38,10 @@
 } // namespace
 
 crash_guard::crash_guard(kv::store& store, io::http_client& client, const protocol_adapter& adapter,
-                         std::string gateway)
-    : m_client{client}, m_adapter{adapter}, m_parts{quarantine_kind::prompt_part, store, gateway},
-      m_requests{quarantine_kind::request, store, std::move(gateway)}
+                         const fleet::evacuations& evacuated, std::string gateway)
+    : m_client{client}, m_adapter{adapter}, m_evacuated{evacuated},
+      m_parts{quarantine_kind::prompt_part, store, gateway}, m_requests{quarantine_kind::request,
+                                                                        store, std::move(gateway)}
 {
 }
 
@@ -103,6 +104,13 @@
     if (std::exchange(it.is_probed, true))
         return;
     const auto key = key_of(it.target);
+    if (m_evacuated.covers(it.target.data_centre))
+    {
+        common::log(common::log_level::info, "probe_omitted",
+                    {{"target", key}, {"data_centre", it.target.data_centre}});
+        // As for a target that does not answer: no call waits for the outcome of this crash.
+        return m_requests.attribution().record_alive(key);
+    }
     io::http_request request{"GET", it.health_path.empty() ? "/" : it.health_path, {}, {}, {}};
     request.headers =
         m_adapter.target_request_headers(request, {it.target.id, {}, probe_timeout, {}});
--- a/source/gateway/crash_guard.hpp
+++ b/source/gateway/crash_guard.hpp
@@ -2,6 +2,7 @@
 
 #include "common/metrics.hpp"
 #include "common/result_code.hpp"
+#include "fleet/evacuations.hpp"
 #include "fleet/target_table.hpp"
 #include "gateway/protocol_adapter.hpp"
 #include "gateway/quarantine.hpp"
@@ -52,7 +53,7 @@
 {
 public:
     crash_guard(kv::store& store, io::http_client& client, const protocol_adapter& adapter,
-                std::string gateway);
+                const fleet::evacuations& evacuated, std::string gateway);
 
     /// The marks of a call of `caller`; `prompt_parts` is empty if it has no prompt.
     static call_marks marks_of(std::string_view service, std::string_view caller,
@@ -115,6 +116,8 @@
 
     io::http_client& m_client;
     const protocol_adapter& m_adapter;
+    /// No probe is sent to these data centres.
+    const fleet::evacuations& m_evacuated;
     quarantine m_parts;
     quarantine m_requests;
     /// By their keys in the attribution.
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -65,11 +65,13 @@
     if (m_route == nullptr)
         return common::failure{result_code::unknown_route, ""};
     m_priority = m_route->priority;
+    m_regions = m_route->regions;
     const auto* team = m_configuration->find_team(m_caller.api_key);
     if (team != nullptr)
     {
         m_team = team->name;
         m_priority = team->priority.value_or(m_priority);
+        m_regions = m_regions.intersected_with(team->regions);
     }
     else if (m_configuration->has_teams && !m_route->is_public)
         return common::failure{result_code::unknown_team, ""};
@@ -104,6 +106,8 @@
                                     m_received.request, m_caller.prompt_parts);
     if (is_quarantined())
         return refuse_quarantined();
+    if (const auto why = placement_refusal())
+        return refuse(*why, "");
     m_gateway.retry_budget().record_call(m_service, m_arrived_at);
     const auto retry_after =
         m_gateway.service(m_service).queue.offer(queue_entry(), m_arrived_at, m_gateway.random());
@@ -149,6 +153,8 @@
     m_is_queued = false;
     m_is_target_reported = false;
     const auto now = common::now();
+    if (m_gateway.evacuated().covers(it.data_centre))
+        m_gateway.record_evacuated_send(it, now);
     const auto time_left = m_deadline - now;
     if (!m_first_sent_at)
         m_first_sent_at = now;
@@ -325,9 +331,11 @@
     if (has_fallback_response())
         return forward_response(*m_fallback);
     if (m_attempts.is_certainly_not_executed())
-        return refuse(outcome == attempt_outcome::not_sent ? result_code::target_unreachable
-                                                           : result_code::no_target,
-                      fleet::name_of(outcome).data());
+    {
+        const auto other = outcome == attempt_outcome::not_sent ? result_code::target_unreachable
+                                                                : result_code::no_target;
+        return refuse(placement_refusal().value_or(other), fleet::name_of(outcome).data());
+    }
     fail(if_unknown, fleet::name_of(outcome).data());
 }
 
@@ -409,7 +417,7 @@
 {
     const auto now = common::now();
     const auto by_queue = m_gateway.service(m_service).queue.retry_after(now, m_gateway.random());
-    const auto back_at = m_gateway.targets().all_busy_until(m_service, now);
+    const auto back_at = m_gateway.eligibility().available_from(m_service, m_regions, now);
     if (!back_at)
         return by_queue;
     return std::chrono::duration_cast<milliseconds>(*back_at - now) + by_queue;
@@ -452,7 +460,7 @@
             .events = m_event_count,
             .ms = elapsed_ms(m_arrived_at, now),
             .waiting = m_service.empty() ? 0 : m_gateway.service(m_service).queue.size(),
-            .targets = m_gateway.targets().usable(m_service, now).size(),
+            .targets = m_gateway.eligibility().eligible(m_service, m_regions, now).size(),
             .state = m_gateway.state_revision(),
             .config = m_configuration ? m_configuration->version : 0};
 }
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -28,6 +28,14 @@
     /// Targets to which this call must not be sent now: those that it has tried, and the one that
     /// has it.
     std::set<std::string> excluded_targets() const;
+    /// The service that the call is for; empty before the request is checked.
+    const std::string& service() const { return m_service; }
+    /// The regions whose targets may serve the call, by its route and team.
+    const fleet::permitted_regions& regions() const { return m_regions; }
+    /// True while the call waits for a slot and no target has it.
+    bool is_waiting() const { return m_is_queued && !m_attempt && !m_ended; }
+    /// Ends a waiting call that no target may serve.
+    void refuse_waiting(common::result_code why);
     /// What the crash guard recognises this call by.
     const call_marks& marks() const { return m_marks; }
     /// The route's target for the longest gap between two events; 0 for none.
@@ -103,6 +111,8 @@
     void report_loss(const attempt& it, fleet::attempt_outcome outcome);
     void fail(common::result_code code, const std::string& detail);
     void refuse(common::result_code code, const std::string& detail);
+    /// Why no target may serve the call; none when one may, or may later.
+    std::optional<common::result_code> placement_refusal() const;
     /// The Retry-After of a refused call: not before a target accepts calls again.
     milliseconds retry_after_time() const;
     void handle_disconnect();
@@ -120,6 +130,7 @@
     const fleet::route* m_route = nullptr;
     std::string m_team;
     int m_priority = 0;
+    fleet::permitted_regions m_regions;
     std::string m_service;
     call_marks m_marks;
     timestamp m_arrived_at;
--- a/source/gateway/exchange_retries.cpp
+++ b/source/gateway/exchange_retries.cpp
@@ -18,13 +18,20 @@
 
 bool exchange::has_retry_target(attempt_outcome last)
 {
-    const auto next = fleet::next_target_after(
-        last, m_gateway.targets().usable(m_service, common::now()), m_tried);
+    const auto eligible = m_gateway.eligibility().eligible(m_service, m_regions, common::now());
+    if (eligible.empty() && placement_refusal())
+        return false;
+    const auto next = fleet::next_target_after(last, eligible, m_tried);
     if (next == fleet::next_target::any)
         m_tried.clear();
     return next != fleet::next_target::none;
 }
 
+std::optional<common::result_code> exchange::placement_refusal() const
+{
+    return m_gateway.eligibility().refusal(m_service, m_regions, common::now());
+}
+
 bool exchange::claim_retry(attempt_outcome last)
 {
     const auto now = common::now();
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -41,6 +41,12 @@
     fail(result_code::outcome_unknown, "no other target had a place");
 }
 
+void exchange::refuse_waiting(result_code why)
+{
+    m_gateway.service(m_service).queue.remove(m_number);
+    handle_not_started(why);
+}
+
 void exchange::end_unanswered(result_code why)
 {
     if (m_ended)
@@ -150,7 +156,7 @@
     attempts.end(attempt_outcome::unknown);
     return attempts.may_retry() && m_gateway.retry_budget().state(m_service, now).left() >= 1 &&
            fleet::next_target_after(attempt_outcome::unknown,
-                                    m_gateway.targets().usable(m_service, now),
+                                    m_gateway.eligibility().eligible(m_service, m_regions, now),
                                     excluded_targets()) == fleet::next_target::untried;
 }
 
@@ -163,8 +169,9 @@
         m_gateway.service(m_service).picker.ended(m_attempt->target().id, 0, why.health,
                                                   milliseconds{0}, now);
     const bool leaves_now =
-        why.delays_others && m_gateway.service(m_service).queue.is_start_predicted(
-                                 queue_entry(), m_gateway.usual_start_rate(m_service, now), now);
+        why.delays_others &&
+        m_gateway.service(m_service).queue.is_start_predicted(
+            queue_entry(), m_gateway.usual_start_rate(m_service, m_regions, now), now);
     if (!leaves_now || leave_target(now))
         requeue();
 }
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -9,8 +9,8 @@
 #include <array>
 #include <csignal>
 #include <iterator>
-#include <limits>
 #include <numeric>
+#include <vector>
 
 namespace kumquatgap::gateway
 {
@@ -45,6 +45,7 @@
     shell::add_common_settings(schema, s.common);
     constexpr milliseconds longest{24 * 3600 * 1000};
     constexpr double most = 1e6;
+    schema.add("process", "regions", common::table_setting{&s.regions});
     schema.add("gateway", "listen", common::address_setting{&s.listen});
     schema.add("gateway", "ready_listen", common::address_setting{&s.ready_listen});
     schema.add("gateway", "metrics_listen", common::address_setting{&s.metrics_listen, false});
@@ -64,7 +65,10 @@
                        { handle_peer_state(peer, it); }},
       m_retry_budget{
           m_settings.retries, {m_settings.common.host, std::random_device{}()}, common::now()},
-      m_crash_guard{store, client, adapter, m_settings.common.host},
+      m_crash_guard{store, client, adapter, m_follower.evacuated(), m_settings.common.host},
+      m_eligibility{m_follower.targets(), m_follower.evacuated(), m_settings.regions,
+                    [this](const fleet::target& it, timestamp now)
+                    { return may_send_at_rate(it, now); }},
       m_success_log{"answered", success_lines_per_second}, m_failure_log{"refused_or_failed",
                                                                          failure_lines_per_second},
       m_server{loop,
@@ -176,6 +180,7 @@
     m_follower.write_metrics(m_metrics, now);
     m_load_broadcast.write_metrics(m_metrics, now);
     m_crash_guard.write_metrics(m_metrics);
+    write_placement_metrics();
     m_metrics.set("kqg_limited_targets", static_cast<std::int64_t>(targets().limited().size()));
     for (const auto& it : m_services)
     {
@@ -218,30 +223,6 @@
     m_loop.defer([this, id = it.number()] { m_exchanges.erase(id); });
 }
 
-/// Returns the target for the call; empty when no target has a free slot.
-std::string gateway::pick_target(const std::string& name, service_state& state, const exchange& it,
-                                 timestamp now)
-{
-    std::vector<policy::placement_candidate> candidates;
-    const auto max_streams = state.latency.has_engine()
-                                 ? state.latency.max_streams_for_gap(it.gap_goal())
-                                 : std::numeric_limits<double>::max();
-    const auto limits = targets().limited();
-    for (const auto* t : targets().usable(name, now))
-    {
-        if (const auto found = limits.find(t->id);
-            found != limits.end() &&
-            !m_rate_limiter.may_send(t->id, found->second, m_follower.peers().size() + 1, now))
-            continue;
-        auto limit = std::min(static_cast<double>(t->slots), max_streams);
-        if (const auto slowdown = m_follower.slowdown_of(t->address); slowdown > 1)
-            limit = std::min(limit, state.latency.max_streams_at_slowdown(slowdown));
-        candidates.push_back(
-            {t->id, limit, t->data_centre == m_settings.common.data_centre ? 0 : 1});
-    }
-    return state.picker.pick(candidates, it.excluded_targets(), now, random());
-}
-
 /// False for a queued call whose prompt may crash its target.
 bool gateway::may_start(std::uint64_t id, timestamp now) const
 {
@@ -263,18 +244,32 @@
     return m_crash_guard.is_own_turn(marks, static_cast<std::size_t>(index), peers.size() + 1, now);
 }
 
+/// True for a queued call that only targets in one of these sets of regions may serve.
+bool gateway::is_limited_to(const std::vector<fleet::permitted_regions>& sets,
+                            std::uint64_t id) const
+{
+    if (sets.empty())
+        return false;
+    const auto found = m_exchanges.find(id);
+    return found != m_exchanges.end() &&
+           std::ranges::find(sets, found->second->regions()) != sets.end();
+}
+
 void gateway::dispatch(const std::string& name)
 {
     auto& state = m_services[name];
     const auto now = common::now();
     refuse_unreachable_deadlines(name, state, now);
     std::set<std::uint64_t> unplaced;
+    // Regions in which no target has a free slot, from calls that exclude no target.
+    std::vector<fleet::permitted_regions> full;
     while (now >= state.paused_until)
     {
         if (state.is_recovering && !state.picker.own_loads().empty())
             return;
-        const auto id = state.queue.next(now, [&](std::uint64_t it)
-                                         { return !unplaced.contains(it) && may_start(it, now); });
+        const auto id = state.queue.next(
+            now, [&](std::uint64_t it)
+            { return !unplaced.contains(it) && !is_limited_to(full, it) && may_start(it, now); });
         if (!id)
             return;
         const auto found = m_exchanges.find(*id);
@@ -287,9 +282,11 @@
         const auto target = pick_target(name, state, *it, now);
         if (target.empty())
         {
-            if (it->excluded_targets().empty())
+            if (it->excluded_targets().empty() && !it->regions().is_restricted())
                 return;
-            // Other calls may use a slot of the targets that this one excludes.
+            // Other calls may use a slot of the targets that this one excludes or must not use.
+            if (it->excluded_targets().empty())
+                full.push_back(it->regions());
             unplaced.insert(*id);
             continue;
         }
@@ -324,6 +321,7 @@
         if (!state.queue.empty())
             dispatch(name);
     }
+    refuse_unplaceable_calls(now);
     const auto open = m_exchanges;
     for (const auto& [id, it] : open)
         it->check_timeouts(now);
@@ -356,7 +354,7 @@
 void gateway::refuse_unreachable_deadlines(const std::string& name, service_state& state,
                                            timestamp now)
 {
-    const auto available_at = targets().all_busy_until(name, now);
+    const auto available_at = m_eligibility.available_from(name, {}, now);
     if (!available_at)
         return;
     for (const auto id : state.queue.take_unservable(*available_at))
@@ -366,21 +364,14 @@
     }
 }
 
-std::size_t gateway::slots_of(const std::string& service, timestamp now) const
-{
-    const auto all = targets().usable(service, now);
-    return std::accumulate(all.begin(), all.end(), std::size_t{0},
-                           [](std::size_t sum, const auto* it)
-                           { return sum + static_cast<std::size_t>(it->slots); });
-}
-
-double gateway::usual_start_rate(const std::string& service, timestamp now)
+double gateway::usual_start_rate(const std::string& service,
+                                 const fleet::permitted_regions& regions, timestamp now)
 {
     const auto response_time = m_services[service].picker.mean_response_time();
     if (response_time.count() == 0)
         return 0;
     const std::chrono::duration<double> seconds = response_time;
-    return static_cast<double>(slots_of(service, now)) / seconds.count() /
+    return static_cast<double>(m_eligibility.slots(service, regions, now)) / seconds.count() /
            static_cast<double>(m_follower.peers().size() + 1);
 }
 
@@ -405,7 +396,7 @@
 {
     if (!state.latency.has_engine())
         return;
-    const auto all = targets().usable(name, now);
+    const auto all = m_eligibility.eligible(name, {}, now);
     if (all.empty())
         return;
     const auto streams = std::accumulate(all.begin(), all.end(), 0.0,
@@ -432,6 +423,7 @@
                 m_services[name].latency.set_engine(*it.engine);
         }
     }
+    refuse_unplaceable_calls(common::now());
     for (const auto& [name, state] : m_services)
     {
         if (!state.queue.empty())
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include "common/limited_log.hpp"
 #include "common/metrics.hpp"
 #include "fleet/configuration.hpp"
+#include "fleet/target_eligibility.hpp"
 #include "fleet/target_table.hpp"
 #include "gateway/crash_guard.hpp"
 #include "gateway/load_broadcast.hpp"
@@ -20,12 +21,14 @@
 #include "shell/program.hpp"
 #include "shell/settings_follower.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace kumquatgap::gateway
 {
@@ -43,6 +46,8 @@
     /// `ip:port` for metrics; none when empty.
     std::string metrics_listen;
     policy::retry_limits retries;
+    /// The regions of the data centres; a target in any other serves no restricted call.
+    fleet::region_table regions;
     /// Time from SIGTERM to SIGKILL.
     milliseconds grace{8000};
 };
@@ -93,6 +98,13 @@
     policy::windowed_retry_budget& retry_budget() { return m_retry_budget; }
     crash_guard& crashes() { return m_crash_guard; }
     const fleet::target_table& targets() const { return m_follower.targets(); }
+    /// Decides which targets a call may be sent to.
+    const fleet::target_eligibility& eligibility() const { return m_eligibility; }
+    const fleet::evacuations& evacuated() const { return m_follower.evacuated(); }
+    void record_evacuated_send(const fleet::target& it, timestamp now)
+    {
+        m_follower.record_evacuated_send(it.data_centre, now);
+    }
     /// How many times slower than normal the target runs; 1 when nothing is known.
     double slowdown_of(const fleet::target& it) const { return m_follower.slowdown_of(it.address); }
     void release_address(const std::string& id) { m_follower.release_address(id); }
@@ -115,8 +127,10 @@
     /// A random number, at least 0 and less than 1.
     double random() { return std::uniform_real_distribution<double>{0, 1}(m_random); }
     /// The calls of a service that this gateway usually starts per second when all slots are taken,
-    /// by the mean response time; 0 before the first response.
-    double usual_start_rate(const std::string& service, timestamp now);
+    /// by the mean response time; 0 before the first response. Only targets that may serve a call
+    /// with these permitted regions count.
+    double usual_start_rate(const std::string& service, const fleet::permitted_regions& regions,
+                            timestamp now);
     /// Sends the queued calls of a service for which a target has a free slot.
     void dispatch(const std::string& name);
     /// Removes an exchange that has ended.
@@ -130,13 +144,20 @@
     void handle_admin_request(const io::received_request& received, io::responder& responder);
     std::string pick_target(const std::string& name, service_state& state, const exchange& it,
                             timestamp now);
+    bool may_send_at_rate(const fleet::target& it, timestamp now) const;
+    void refuse_unplaceable_calls(timestamp now);
+    void write_placement_metrics();
     bool may_start(std::uint64_t id, timestamp now) const;
+    bool is_limited_to(const std::vector<fleet::permitted_regions>& sets, std::uint64_t id) const;
     bool is_own_trial_turn(const call_marks& marks, timestamp now) const;
     void tick();
     void broadcast_state(timestamp now);
     void report_started_gateway(timestamp now);
-    /// The slots of all usable targets of a service.
-    std::size_t slots_of(const std::string& service, timestamp now) const;
+    /// The slots of all eligible targets of a service.
+    std::size_t slots_of(const std::string& service, timestamp now) const
+    {
+        return m_eligibility.slots(service, {}, now);
+    }
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
     void update_latency_model(const std::string& name, service_state& state, timestamp now);
     void handle_state_change();
@@ -157,6 +178,9 @@
     policy::windowed_retry_budget m_retry_budget;
     crash_guard m_crash_guard;
     policy::shared_rate_limiter m_rate_limiter;
+    fleet::target_eligibility m_eligibility;
+    /// How often a target was not considered for a call, by the number of the reason.
+    std::array<std::int64_t, fleet::ineligibility_count> m_skipped_targets{};
     common::metrics m_metrics;
     common::limited_log m_success_log;
     common::limited_log m_failure_log;
--- a/source/gateway/protocol_adapter.hpp
+++ b/source/gateway/protocol_adapter.hpp
@@ -92,6 +92,8 @@
     virtual bool is_configuration(std::string_view key) const = 0;
     /// The id of the target whose entry is stored under the key; empty for other keys.
     virtual std::string_view target_id(std::string_view key) const = 0;
+    /// The data centre that the operator evacuates as long as the key exists; empty for other keys.
+    virtual std::string_view evacuated_data_centre(std::string_view key) const = 0;
     /// Reads the operators' configuration; none when it can't be read.
     virtual std::optional<fleet::configuration>
     read_configuration(const std::string& text) const = 0;
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -111,6 +111,7 @@
                       if (response)
                       {
                           handle_store_success();
+                          m_learnt_by = "read";
                           if (!std::exchange(m_has_read_store, true))
                               m_is_first_start = m_registry.note_first_read(response.value().items);
                           return execute_all(
@@ -128,6 +129,7 @@
                                   {[this, era](auto to, auto changes)
                                    {
                                        handle_store_success();
+                                       m_learnt_by = "watch";
                                        execute_all(m_gossip.store_changed(
                                            {as_of(), to, std::move(changes), era}, common::now()));
                                    },
@@ -150,6 +152,7 @@
                     {{"code", common::number(common::result_code::bad_message)}});
         return;
     }
+    m_learnt_by = "peer";
     execute_all(m_gossip.handle(*m, common::now()));
 }
 
@@ -246,6 +249,8 @@
         return m_registry.handle_written(it.key.substr(gateway_registry::prefix.size()), it.value);
     if (it.key.starts_with(fleet::slowdown_prefix))
         return apply_slowdown(it);
+    if (const auto data_centre = m_adapter.evacuated_data_centre(it.key); !data_centre.empty())
+        return begin_evacuation(std::string{data_centre}, it);
     const auto id = m_adapter.target_id(it.key);
     if (id.empty())
         return;
@@ -340,6 +345,8 @@
         m_slowdowns.erase(key.substr(fleet::slowdown_prefix.size()));
         return;
     }
+    if (const auto data_centre = m_adapter.evacuated_data_centre(key); !data_centre.empty())
+        return end_evacuation(std::string{data_centre}, how);
     const auto now = common::now();
     const auto outage_end = recent_outage_end(now);
     if (key.starts_with(gateway_registry::prefix))
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/configuration.hpp"
+#include "fleet/evacuations.hpp"
 #include "fleet/target_table.hpp"
 #include "gateway/entry_change.hpp"
 #include "gateway/gateway_registry.hpp"
@@ -34,6 +35,13 @@
     /// The newest configuration; a null pointer until the first one was read.
     std::shared_ptr<const fleet::configuration> configuration() const { return m_configuration; }
     const fleet::target_table& targets() const { return m_targets; }
+    /// The data centres to which nothing is sent.
+    const fleet::evacuations& evacuated() const { return m_evacuations; }
+    /// A request was passed to a target of an evacuated data centre.
+    void record_evacuated_send(std::string_view data_centre, common::timestamp now)
+    {
+        m_evacuations.record_send(data_centre, now);
+    }
     /// Marks a target's address as reassigned, after another target has responded there.
     void release_address(const std::string& id);
     /// Marks a target as draining, as its response says or another gateway, `peer`, has reported;
@@ -74,6 +82,11 @@
     std::optional<common::timestamp> recent_outage_end(common::timestamp now) const;
     void apply_replica_changes();
     void apply_slowdown(const kv::key_value& it);
+    void begin_evacuation(const std::string& data_centre, const kv::key_value& it);
+    void end_evacuation(const std::string& data_centre, entry_change how);
+    void schedule_evacuation_end();
+    void expire_evacuations();
+    void log_evacuation_end(const std::string& data_centre, std::string_view reason) const;
     bool notify_entry_handler(const std::string& key, entry_change what);
     void apply_written(const kv::key_value& it);
     void apply_removed(const std::string& key, entry_change how);
@@ -97,6 +110,11 @@
     std::optional<kv::era> m_applied_era;
     std::shared_ptr<const fleet::configuration> m_configuration;
     fleet::target_table m_targets;
+    fleet::evacuations m_evacuations;
+    /// Set while an evacuation goes on whose key a restored store lacks.
+    io::timer_handle m_evacuation_timer;
+    /// How the replica's latest changes were learnt, for logs.
+    std::string_view m_learnt_by;
     /// Slowdown by address.
     std::map<std::string, double> m_slowdowns;
     std::vector<membership::peer> m_peers;
--- a/source/unit_tests/common/settings_test.cpp
+++ b/source/unit_tests/common/settings_test.cpp
@@ -3,6 +3,11 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace kumquatgap::common;
 
@@ -72,3 +77,66 @@
     const std::vector<std::string> expected{"process.delay_ms", "process.name"};
     cr_assert(a.schema.differences(b.schema) == expected);
 }
+
+namespace
+{
+
+using table = std::map<std::string, std::string, std::less<>>;
+
+/// The table that a value is read as; none when it is malformed.
+std::optional<table> read_table(const std::string& value)
+{
+    table out{{"old", "value"}};
+    settings_schema schema;
+    schema.add("process", "regions", table_setting{&out});
+    const auto errors = schema.read("[process]\nregions = " + value + "\n");
+    return errors.empty() ? std::optional{out} : std::nullopt;
+}
+
+} // namespace
+
+/// A template without data centres writes an empty value, which must not keep a program from
+/// starting.
+Test(settings, table_is_read)
+{
+    cr_assert(read_table("") == table{});
+    cr_assert(read_table("a:north") == (table{{"a", "north"}}));
+    cr_assert(read_table("a:north, b : south,") == (table{{"a", "north"}, {"b", "south"}}));
+}
+
+/// A data centre without a region or with two was taken for one without restrictions.
+Test(settings, malformed_table_is_rejected)
+{
+    for (const char* text : {"a", "a:", ":north", "a:north,b", "a:north,a:south"})
+        cr_assert_not(read_table(text).has_value(), "%s", text);
+}
+
+/// inih passes on the first 199 bytes of a line only, which a table of some data centres exceeds.
+Test(settings, long_line_is_read_whole)
+{
+    table expected;
+    std::string text;
+    for (int i = 100; i < 160; ++i)
+    {
+        const auto n = std::to_string(i);
+        expected.emplace("data-centre-" + n, "region-" + n);
+        text += "data-centre-" + n + ":region-" + n + ",";
+    }
+    cr_assert(read_table(text) == expected);
+    cr_assert(read_table(text + " ; a comment") == expected);
+    cr_assert_not(read_table(std::string(5000, 'a') + ":north").has_value());
+}
+
+/// A changed table takes effect at the next start, which the program has to report.
+Test(settings, differences_lists_tables)
+{
+    table a{{"x", "north"}};
+    table b = a;
+    settings_schema first;
+    settings_schema second;
+    first.add("process", "regions", table_setting{&a});
+    second.add("process", "regions", table_setting{&b});
+    cr_assert(first.differences(second).empty());
+    b["x"] = "south";
+    cr_assert(first.differences(second) == std::vector<std::string>{"process.regions"});
+}
--- a/tests/platform/gateway_deployment.cpp
+++ b/tests/platform/gateway_deployment.cpp
@@ -54,7 +54,8 @@
 
 } // namespace
 
-gateway_deployment::gateway_deployment(int gateways, bool own_store_relays)
+gateway_deployment::gateway_deployment(int gateways, bool own_store_relays,
+                                       const std::string& regions)
     : m_directory{make_temp_directory()}, m_store{std::make_unique<stand_ins::platform_store>(
                                               m_loop, failures::free_address())}
 {
@@ -71,7 +72,8 @@
             store_address = m_store_relays.back()->address();
         }
         std::ofstream{path} << "[process]\nhost = gateway-" << i
-                            << "\ndata_centre = a\nlog_level = debug\ndeployment_token = t\n"
+                            << "\ndata_centre = a\nregions = " << regions
+                            << "\nlog_level = debug\ndeployment_token = t\n"
                             << "[store]\naddress = " << store_address << "\ntimeout_ms = 800\n"
                             << "[control]\nlisten = " << failures::free_address() << "\n"
                             << "[gateway]\nlisten = " << m_addresses.back()
@@ -122,18 +124,20 @@
 
 stand_ins::scripted_target& gateway_deployment::add_target(const std::string& id,
                                                            const std::string& service,
-                                                           stand_ins::scripted_target::script fn)
+                                                           stand_ins::scripted_target::script fn,
+                                                           const std::string& data_centre)
 {
     m_targets.push_back(std::make_unique<stand_ins::scripted_target>(
         m_loop, failures::free_address(), std::move(fn)));
-    put_entry(id, service, m_targets.back()->address());
+    put_entry(id, service, m_targets.back()->address(), "ready", data_centre);
     return *m_targets.back();
 }
 
 void gateway_deployment::put_entry(const std::string& id, const std::string& service,
-                                   const std::string& address, const std::string& state)
+                                   const std::string& address, const std::string& state,
+                                   const std::string& data_centre)
 {
-    const json it = {{"service", service},   {"address", address}, {"zone", "a"},
+    const json it = {{"service", service},   {"address", address}, {"zone", data_centre},
                      {"version", "v1"},      {"slots", 2},         {"state", state},
                      {"coldRemainingMs", 0}, {"sequence", 1}};
     m_store->put("servers/" + id, it.dump());
--- a/tests/platform/gateway_deployment.hpp
+++ b/tests/platform/gateway_deployment.hpp
@@ -42,8 +42,10 @@
 class gateway_deployment
 {
 public:
-    /// With `own_store_relays`, each gateway connects to the store through its own relay.
-    explicit gateway_deployment(int gateways = 1, bool own_store_relays = false);
+    /// With `own_store_relays`, each gateway connects to the store through its own relay. `regions`
+    /// is the table of regions in the gateways' settings.
+    explicit gateway_deployment(int gateways = 1, bool own_store_relays = false,
+                                const std::string& regions = "");
     gateway_deployment(const gateway_deployment&) = delete;
     gateway_deployment& operator=(const gateway_deployment&) = delete;
     ~gateway_deployment();
@@ -61,9 +63,10 @@
 
     /// Starts a target of a service and writes its entry to the store.
     stand_ins::scripted_target& add_target(const std::string& id, const std::string& service,
-                                           stand_ins::scripted_target::script fn);
+                                           stand_ins::scripted_target::script fn,
+                                           const std::string& data_centre = "a");
     void put_entry(const std::string& id, const std::string& service, const std::string& address,
-                   const std::string& state = "ready");
+                   const std::string& state = "ready", const std::string& data_centre = "a");
     /// The configuration of the tests: safe, unsafe and streaming routes of one host.
     nlohmann::json config(std::int64_t version) const;
     void put_config(const nlohmann::json& it);
