Adjust the queues to the capacity that an evacuation leaves

Measured start rates fall with the slots as soon as the key is known. Calls that are not connected to their targets yet are taken back. A gateway that was paused for a second or more reads the store's changes before it sends calls again.

--- a/source/core/fleet/evacuations.cpp
+++ b/source/core/fleet/evacuations.cpp
@@ -10,12 +10,15 @@
 {
     const auto [it, is_new] = m_active.try_emplace(data_centre, evacuation{now, {}, {}});
     it->second.ends_at.reset();
+    m_version += is_new ? 1 : 0;
     return is_new;
 }
 
 bool evacuations::end(const std::string& data_centre)
 {
-    return m_active.erase(data_centre) > 0;
+    const bool is_known = m_active.erase(data_centre) > 0;
+    m_version += is_known ? 1 : 0;
+    return is_known;
 }
 
 void evacuations::lose(const std::string& data_centre, timestamp now)
@@ -34,7 +37,7 @@
             out.push_back(data_centre);
     }
     for (const auto& it : out)
-        m_active.erase(it);
+        end(it);
     return out;
 }
 
--- a/source/core/fleet/evacuations.hpp
+++ b/source/core/fleet/evacuations.hpp
@@ -3,6 +3,7 @@
 #include "common/clock.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -42,6 +43,8 @@
     }
     bool empty() const { return m_active.empty(); }
     std::size_t size() const { return m_active.size(); }
+    /// Rises when an evacuation begins or ends.
+    std::uint64_t version() const { return m_version; }
 
     /// A request was passed to a target of the data centre although its evacuation is known.
     void record_send(std::string_view data_centre, timestamp now);
@@ -59,6 +62,7 @@
     };
 
     std::map<std::string, evacuation, std::less<>> m_active;
+    std::uint64_t m_version = 0;
 };
 
 } // namespace kumquatgap::fleet
--- a/source/core/policy/admission_queue.cpp
+++ b/source/core/policy/admission_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace kumquatgap::policy
 {
@@ -61,10 +62,35 @@
 
 std::optional<double> admission_queue::start_rate(timestamp now) const
 {
-    const auto rate = measured_start_rate(now);
+    auto rate = measured_start_rate(now);
+    if (!rate && m_assumed_rate > 0 && now < m_assumed_until)
+        rate = m_assumed_rate;
     return rate ? std::optional{std::max(*rate, m_options.min_start_rate)} : std::nullopt;
 }
 
+void admission_queue::scale_capacity(double factor, double usual_rate, timestamp now)
+{
+    const bool has_shrunk = factor < 1;
+    m_assumed_rate = has_shrunk ? usual_rate : 0;
+    m_assumed_until = now + m_options.rate_window;
+    if (!has_shrunk)
+    {
+        m_waiting_since = now;
+        return m_starts.clear();
+    }
+    std::deque<timestamp> kept;
+    double due = 0;
+    for (const auto at : m_starts)
+    {
+        due += factor;
+        if (due < 1)
+            continue;
+        due -= 1;
+        kept.push_back(at);
+    }
+    m_starts = std::move(kept);
+}
+
 /// The start rate that decides which calls can still be served in a shutdown; none while it is
 /// not known. Later in the shutdown only starts that were measured count.
 std::optional<double> admission_queue::shutdown_start_rate(const remaining_time& left,
--- a/source/core/policy/admission_queue.hpp
+++ b/source/core/policy/admission_queue.hpp
@@ -105,6 +105,10 @@
     void halt(std::size_t slots) { m_halted_slots = slots; }
     /// Calls can start again after a halt or a stall: the start rate is measured from now on.
     void resume(timestamp now);
+    /// The slots of the service have changed by this factor, and `usual_rate` calls usually start
+    /// per second with the new ones; 0 when that is not known. With fewer slots the measured start
+    /// rate falls at once, before the queue has grown; with more it is measured anew.
+    void scale_capacity(double factor, double usual_rate, timestamp now);
     /// The time after which a caller that is refused now should retry.
     milliseconds retry_after(timestamp now, double draw) const;
 
@@ -124,6 +128,10 @@
     std::map<std::uint64_t, waiting_call> m_calls;
     std::deque<timestamp> m_starts;
     std::optional<std::size_t> m_halted_slots;
+    /// The start rate that is assumed for a time after the capacity has shrunk, as long as none is
+    /// measured; 0 for none.
+    double m_assumed_rate = 0;
+    timestamp m_assumed_until;
     /// Since when calls have waited without a break.
     timestamp m_waiting_since;
 };
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -36,6 +36,9 @@
     bool is_waiting() const { return m_is_queued && !m_attempt && !m_ended; }
     /// Ends a waiting call that no target may serve.
     void refuse_waiting(common::result_code why);
+    /// Takes the call back from a target in an evacuated data centre if it is not connected to it
+    /// yet, and queues it for another one.
+    void leave_evacuated_target();
     /// What the crash guard recognises this call by.
     const call_marks& marks() const { return m_marks; }
     /// The route's target for the longest gap between two events; 0 for none.
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -47,6 +47,25 @@
     handle_not_started(why);
 }
 
+void exchange::leave_evacuated_target()
+{
+    if (m_ended || !m_attempt || m_attempt->may_have_reached_target() ||
+        !m_gateway.evacuated().covers(m_attempt->target().data_centre))
+        return;
+    m_gateway.failure_log().write(common::log_level::info, "unconnected_call_taken_back",
+                                  {{"id", m_caller.id},
+                                   {"target", m_attempt->target().id},
+                                   {"data_centre", m_attempt->target().data_centre}},
+                                  common::now());
+    leave_queue();
+    m_attempts.end(attempt_outcome::not_sent);
+    m_attempt->cancel(target_health::unknown);
+    release_attempt(*m_attempt);
+    if (m_attempts.may_retry())
+        return requeue();
+    handle_failure(attempt_outcome::not_sent, result_code::outcome_unknown);
+}
+
 void exchange::end_unanswered(result_code why)
 {
     if (m_ended)
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -259,6 +259,8 @@
 {
     auto& state = m_services[name];
     const auto now = common::now();
+    if (holds_calls(now))
+        return;
     refuse_unreachable_deadlines(name, state, now);
     std::set<std::uint64_t> unplaced;
     // Regions in which no target has a free slot, from calls that exclude no target.
@@ -302,6 +304,8 @@
 void gateway::tick()
 {
     const auto now = common::now();
+    if (!note_tick(now))
+        return;
     m_crash_guard.tick(targets(), now, random(),
                        policy::load_broadcast_interval(m_follower.peers().size()));
     const auto limits = targets().limited();
@@ -423,6 +427,7 @@
                 m_services[name].latency.set_engine(*it.engine);
         }
     }
+    handle_evacuation_change(common::now());
     refuse_unplaceable_calls(common::now());
     for (const auto& [name, state] : m_services)
     {
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -146,6 +146,9 @@
                             timestamp now);
     bool may_send_at_rate(const fleet::target& it, timestamp now) const;
     void refuse_unplaceable_calls(timestamp now);
+    void handle_evacuation_change(timestamp now);
+    bool note_tick(timestamp now);
+    bool holds_calls(timestamp now) const;
     void write_placement_metrics();
     bool may_start(std::uint64_t id, timestamp now) const;
     bool is_limited_to(const std::vector<fleet::permitted_regions>& sets, std::uint64_t id) const;
@@ -179,6 +182,11 @@
     crash_guard m_crash_guard;
     policy::shared_rate_limiter m_rate_limiter;
     fleet::target_eligibility m_eligibility;
+    /// The evacuations that the queues' start rates are adjusted to.
+    fleet::evacuations m_applied_evacuations;
+    timestamp m_ticked_at;
+    /// The process was paused before the last tick, so what arrived meanwhile may not be read yet.
+    bool m_was_paused = false;
     /// How often a target was not considered for a call, by the number of the reason.
     std::array<std::int64_t, fleet::ineligibility_count> m_skipped_targets{};
     common::metrics m_metrics;
--- a/source/gateway/placement.cpp
+++ b/source/gateway/placement.cpp
@@ -4,6 +4,8 @@
 #include "gateway/gateway.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -14,6 +16,63 @@
 namespace kumquatgap::gateway
 {
 
+namespace
+{
+
+/// Ticks come each 25 ms; a longer time between two is a pause of the process, as by a stopped or
+/// frozen host. A busy loop stays far below it.
+constexpr milliseconds min_pause{1000};
+constexpr double per_thousand = 1000;
+
+} // namespace
+
+/// Notes a tick; false for the first one after a pause. Calls are not sent before the next one: the
+/// store's changes of that time wait in the process's sockets, and one of them may evacuate a data
+/// centre.
+bool gateway::note_tick(timestamp now)
+{
+    const auto gap = now - std::exchange(m_ticked_at, now);
+    m_was_paused = gap >= min_pause && gap != now - timestamp{};
+    if (m_was_paused)
+        common::log(common::log_level::warn, "process_was_paused",
+                    {{"ms", std::chrono::duration_cast<milliseconds>(gap).count()},
+                     {"open_calls", static_cast<std::int64_t>(m_exchanges.size())}});
+    return !m_was_paused;
+}
+
+bool gateway::holds_calls(timestamp now) const
+{
+    return m_was_paused || (m_ticked_at != timestamp{} && now - m_ticked_at >= min_pause);
+}
+
+/// Adjusts the queues to the capacity that is left, and takes back calls that are not connected to
+/// their targets yet.
+void gateway::handle_evacuation_change(timestamp now)
+{
+    if (evacuated().version() == m_applied_evacuations.version())
+        return;
+    const fleet::target_eligibility before{targets(), m_applied_evacuations, m_settings.regions};
+    for (auto& [name, state] : m_services)
+    {
+        const auto old_slots = before.slots(name, {}, now);
+        const auto slots = slots_of(name, now);
+        if (old_slots == 0 || old_slots == slots)
+            continue;
+        const auto rate = usual_start_rate(name, {}, now);
+        state.queue.scale_capacity(static_cast<double>(slots) / static_cast<double>(old_slots),
+                                   rate, now);
+        common::log(common::log_level::info, "capacity_changed",
+                    {{"service", name},
+                     {"slots_before", static_cast<std::int64_t>(old_slots)},
+                     {"slots", static_cast<std::int64_t>(slots)},
+                     {"starts_per_1000_s", std::llround(rate * per_thousand)}});
+    }
+    m_applied_evacuations = evacuated();
+    const auto open = m_exchanges;
+    for (const auto& [id, it] : open)
+        it->leave_evacuated_target();
+}
+
 bool gateway::may_send_at_rate(const fleet::target& it, timestamp now) const
 {
     const auto limit = targets().rate_limit_of(it.id);
