--- a/source/core/fleet/configuration.cpp
+++ b/source/core/fleet/configuration.cpp
@@ -64,6 +64,12 @@
     return nullptr;
 }
 
+const service* configuration::find_service(const std::string& name) const
+{
+    const auto it = services.find(name);
+    return it == services.end() ? nullptr : &it->second;
+}
+
 std::string configuration::health_path(const std::string& name) const
 {
     const auto it = services.find(name);
--- a/source/core/fleet/configuration.hpp
+++ b/source/core/fleet/configuration.hpp
@@ -113,6 +113,11 @@
     std::string health_path;
     /// Connections that one target accepts from all gateways.
     int max_connections = 0;
+    /// Requests per second that a cold target can handle from all gateways together; 0 for no
+    /// limit.
+    double cold_per_second = 0;
+    /// How long a target is cold after a start during traffic; 0 when it is not published.
+    milliseconds cold_time{0};
     std::optional<engine_profile> engine;
 };
 
@@ -152,6 +157,8 @@
     const team* find_team(const std::string& key) const;
     /// The path of a service's health check; empty when it has none.
     std::string health_path(const std::string& name) const;
+    /// The service; none when the configuration does not have it.
+    const service* find_service(const std::string& name) const;
     /// True when the targets of a service are the ranks of groups, which fail together.
     bool is_group(const std::string& name) const;
     std::size_t route_count() const { return m_routes.size(); }
--- a/source/core/fleet/target_notices.cpp
+++ b/source/core/fleet/target_notices.cpp
@@ -98,6 +98,68 @@
     return {own.begin(), own.end()};
 }
 
+bool target_notices::note_cold(const std::string& id, const cold_notice& it, notice_source from)
+{
+    const bool is_cold = it.until > it.heard_at;
+    const auto known = m_notices.find(id);
+    if (known == m_notices.end() && !is_cold)
+        return false;
+    if (known != m_notices.end() &&
+        (it.started_at < known->second.started_at ||
+         (it.started_at == known->second.started_at && it.heard_at < known->second.cold_heard_at)))
+        return false;
+    if (from == notice_source::peer && !is_cold)
+        return false;
+    auto& n = notice_of(id, it.started_at);
+    const bool was_cold = n.cold.until > it.heard_at;
+    if (from == notice_source::peer && was_cold && it.until <= n.cold.until)
+        return false;
+    if (is_cold && !was_cold)
+        n.cold.since = it.heard_at;
+    n.cold.until = std::min(it.until, it.heard_at + max_cold_time);
+    n.cold_heard_at = it.heard_at;
+    n.is_cold_heard_here = from == notice_source::answer;
+    m_cold_until = std::max(m_cold_until, n.cold.until);
+    if (is_cold && !was_cold && n.is_cold_heard_here)
+        ++m_cold_version;
+    return is_cold != was_cold;
+}
+
+std::optional<cold_period> target_notices::cold_period_of(const std::string& id,
+                                                          timestamp now) const
+{
+    const auto it = m_notices.find(id);
+    if (it == m_notices.end() || it->second.cold.until <= now)
+        return std::nullopt;
+    return it->second.cold;
+}
+
+std::set<std::string> target_notices::cold(timestamp now) const
+{
+    std::set<std::string> out;
+    for (const auto& [id, it] : m_notices)
+    {
+        if (it.cold.until > now)
+            out.insert(id);
+    }
+    return out;
+}
+
+cold_notices target_notices::cold_to_broadcast(timestamp now) const
+{
+    std::vector<std::pair<std::string, cold_notice>> own;
+    if (!has_cold(now))
+        return {};
+    for (const auto& [id, it] : m_notices)
+    {
+        if (it.is_cold_heard_here && it.cold.until > now)
+            own.emplace_back(id, cold_notice{it.started_at, it.cold.until, it.cold_heard_at});
+    }
+    std::ranges::sort(own, std::greater{}, [](const auto& it) { return it.second.heard_at; });
+    own.resize(std::min(own.size(), max_broadcast_cold));
+    return {own.begin(), own.end()};
+}
+
 void target_notices::entry_updated(const std::string& id, std::int64_t started_at)
 {
     if (started_at != 0 && m_notices.contains(id))
@@ -140,7 +202,12 @@
                           (has_entry(id) || now - *n.draining_since < missing_entry_lifetime);
                       const bool is_limit_recent = n.limit_heard_at != timestamp{} &&
                                                    now - n.limit_heard_at < rate_limit_lifetime;
-                      return !is_kept && !is_limit_recent && n.busy_until <= now;
+                      // Kept after the cold time too, so that a delayed message of another gateway
+                      // does not start it again.
+                      const bool is_cold_recent =
+                          n.cold.until > now || (n.cold_heard_at != timestamp{} &&
+                                                 now - n.cold_heard_at < cold_notice_lifetime);
+                      return !is_kept && !is_limit_recent && n.busy_until <= now && !is_cold_recent;
                   });
 }
 
--- a/source/core/fleet/target_notices.hpp
+++ b/source/core/fleet/target_notices.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace kumquatgap::fleet
@@ -33,10 +34,31 @@
 /// By target id.
 using rate_limits = std::map<std::string, rate_limit>;
 
+/// How long a target is still cold after a start, as it has said; `until` is not later than
+/// `heard_at` when it has said that it is no longer cold.
+struct cold_notice
+{
+    std::int64_t started_at = 0;
+    timestamp until;
+    timestamp heard_at;
+
+    bool operator==(const cold_notice&) const = default;
+};
+
+/// By target id.
+using cold_notices = std::map<std::string, cold_notice>;
+
+/// The time during which a target is cold, as far as it is known.
+struct cold_period
+{
+    timestamp since;
+    timestamp until;
+};
+
 /// Who received a notice from the target.
 enum class notice_source : std::uint8_t
 {
-    /// This gateway, in a response.
+    /// This gateway, in a response or in the target's entry.
     answer,
     /// Another gateway.
     peer
@@ -66,6 +88,12 @@
     /// The most limits in one broadcast, since it has to fit a datagram. More than one gateway
     /// hears between two broadcasts.
     static constexpr std::size_t max_broadcast_limits = 64;
+    /// The most cold targets in one broadcast, for the same reason.
+    static constexpr std::size_t max_broadcast_cold = 64;
+    /// What a target has said about its cold time is remembered for this long.
+    static constexpr milliseconds cold_notice_lifetime{60'000};
+    /// The longest time for which a target can be cold; longer ones are shortened to it.
+    static constexpr milliseconds max_cold_time{600'000};
     /// The longest time without calls that a target can ask for; longer requests are shortened to
     /// it.
     static constexpr milliseconds max_busy_time{3'600'000};
@@ -84,6 +112,21 @@
     std::map<std::string, double> limited() const;
     /// What this gateway has heard itself and lately, for broadcast; the newest if there is more.
     rate_limits limits_to_broadcast(timestamp now) const;
+    /// How long the target is still cold, as it has said, unless something newer is known. Another
+    /// gateway's notice never ends the cold time early: it may have been delayed, and the cold time
+    /// ends by itself. True when the target has become cold, or is no longer cold.
+    bool note_cold(const std::string& id, const cold_notice& it, notice_source from);
+    /// False when no target is cold. Costs nothing while none has been.
+    bool has_cold(timestamp now) const { return now < m_cold_until; }
+    /// The cold time of a target; none when it is not cold.
+    std::optional<cold_period> cold_period_of(const std::string& id, timestamp now) const;
+    /// The cold targets.
+    std::set<std::string> cold(timestamp now) const;
+    /// The cold times that this gateway has heard itself, for broadcast; the newest if there are
+    /// more than fit.
+    cold_notices cold_to_broadcast(timestamp now) const;
+    /// Changes when this gateway hears itself that a target has become cold.
+    std::uint64_t cold_version() const { return m_cold_version; }
     /// An entry states when the target started; notices of an earlier start end.
     void entry_updated(const std::string& id, std::int64_t started_at);
 
@@ -110,12 +153,18 @@
         /// clock for never.
         timestamp limit_heard_at;
         timestamp limit_heard_here_at;
+        cold_period cold;
+        timestamp cold_heard_at;
+        bool is_cold_heard_here = false;
     };
 
     static bool is_draining(const notice& it, timestamp now);
     notice& notice_of(const std::string& id, std::int64_t started_at);
 
     std::map<std::string, notice> m_notices;
+    /// No target is cold from then on.
+    timestamp m_cold_until;
+    std::uint64_t m_cold_version = 0;
 };
 
 } // namespace kumquatgap::fleet
--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -91,6 +91,19 @@
     return m_notices.note_busy(id, started_at, time, now);
 }
 
+bool target_table::note_entry_cold(const target& it, timestamp now)
+{
+    // The entry of a copy of the store is as old as the copy.
+    if (!it.is_confirmed)
+        return false;
+    auto left = it.cold_for;
+    const auto known = m_rows.find(it.id);
+    const bool is_first = known == m_rows.end() || known->second.entry.started_at != it.started_at;
+    if (is_first && it.age)
+        left = std::clamp(left + max_clock_difference - *it.age, milliseconds{0}, left);
+    return m_notices.note_cold(it.id, {it.started_at, now + left, now}, notice_source::answer);
+}
+
 std::optional<timestamp> target_table::all_busy_until(std::string_view service, timestamp now) const
 {
     std::optional<timestamp> out;
@@ -151,4 +164,22 @@
     return out;
 }
 
+std::vector<std::string> target_table::ids_of(std::string_view service) const
+{
+    std::vector<std::string> out;
+    for (const auto& [id, r] : m_rows)
+    {
+        if (r.entry.service == service)
+            out.push_back(id);
+    }
+    return out;
+}
+
+const std::string& target_table::service_of(const std::string& id) const
+{
+    static const std::string s_none;
+    const auto it = m_rows.find(id);
+    return it == m_rows.end() ? s_none : it->second.entry.service;
+}
+
 } // namespace kumquatgap::fleet
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -36,6 +36,10 @@
     bool is_confirmed = true;
     /// When the target started, in Unix milliseconds; 0 when it does not report that.
     std::int64_t started_at = 0;
+    /// How much longer the target is cold, as its entry says; 0 when it is not cold.
+    milliseconds cold_for{0};
+    /// The time since `started_at`, by this host's calendar clock; none when it is not known.
+    std::optional<milliseconds> age = std::nullopt;
 };
 
 /// The known targets, from their entries in the store. Load pattern: entries whose leases expire
@@ -98,6 +102,18 @@
     /// The earliest time at which a target of the service accepts calls again, if all targets that
     /// are in service have asked for no calls; none otherwise.
     std::optional<timestamp> all_busy_until(std::string_view service, timestamp now) const;
+    /// The calendar clocks of two hosts differ by less than this.
+    static constexpr milliseconds max_clock_difference{2000};
+    /// How long a target is still cold, as a response or another gateway says; see target_notices.
+    bool note_cold(const std::string& id, const cold_notice& it, notice_source from)
+    {
+        return m_notices.note_cold(id, it, from);
+    }
+    /// How long a target is still cold, as its entry says, which is put next. The entry does not
+    /// say when it was written: the first one of a start counts from that start, and a later one
+    /// from now. True when the target has become cold, or is no longer cold.
+    bool note_entry_cold(const target& it, timestamp now);
+    const target_notices& notices() const { return m_notices; }
     /// Removes notices that no longer apply.
     void prune(timestamp now);
 
@@ -106,6 +122,10 @@
     const target* find_usable(const std::string& id, timestamp now) const;
     /// All targets of a service that accept new calls, by id.
     std::vector<const target*> usable(std::string_view service, timestamp now) const;
+    /// The ids of all targets of a service, also of those that accept no calls.
+    std::vector<std::string> ids_of(std::string_view service) const;
+    /// The service of a target; empty when it is not known.
+    const std::string& service_of(const std::string& id) const;
     /// True while this start of a target has an entry, or may have lost it only because the store
     /// was unreachable, and no newer entry claims its address.
     bool is_registered(const std::string& id, std::int64_t started_at, timestamp now) const;
--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -76,10 +76,21 @@
     // A request may have met a crash by accident, so it gets another attempt. In a group, whose
     // ranks all fail with the next crash, the one that was being answered does not.
     m_requests.attribution().record_lost(key, it.marks.request, it.is_group && it.has_head, now);
+    lost->second.is_probe_due = lost->second.is_probe_due || it.has_head;
     if (it.has_head)
         probe(lost->second);
 }
 
+/// Probes the targets that could not be probed at once.
+void crash_guard::probe_due()
+{
+    for (auto& [key, it] : m_lost)
+    {
+        if (it.is_probe_due && !it.is_probed)
+            probe(it);
+    }
+}
+
 /// The targets of crashes that are not confirmed yet, by their keys.
 std::vector<std::string> crash_guard::unconfirmed() const
 {
@@ -100,8 +111,9 @@
 
 void crash_guard::probe(lost_target& it)
 {
-    if (std::exchange(it.is_probed, true))
+    if (it.is_probed || (m_may_probe && !m_may_probe(it.target)))
         return;
+    it.is_probed = true;
     const auto key = key_of(it.target);
     io::http_request request{"GET", it.health_path.empty() ? "/" : it.health_path, {}, {}, {}};
     request.headers =
@@ -119,8 +131,10 @@
 void crash_guard::handle_probe(const std::string& key, io::call_outcome how,
                                const io::http_response& response)
 {
-    const bool is_gone =
-        how == io::call_outcome::not_connected || m_adapter.read_response(response).is_misdirected;
+    const auto head = m_adapter.read_response(response);
+    const bool is_gone = how == io::call_outcome::not_connected || head.is_misdirected;
+    if (const auto lost = m_lost.find(key); lost != m_lost.end() && m_on_probe_response && !is_gone)
+        m_on_probe_response(lost->second.target, head);
     common::log(common::log_level::info, "target_probed",
                 {{"target", key},
                  {"end", io::name_of(how)},
@@ -226,6 +240,7 @@
 {
     std::erase_if(m_probes, [](const auto& it) { return it.second.has_ended; });
     confirm_replaced(targets, now);
+    probe_due();
     // Calls are held until it is known whether their targets are gone.
     if (m_requests.attribution().suspect_count() > 0)
         probe_unconfirmed();
--- a/source/gateway/crash_guard.hpp
+++ b/source/gateway/crash_guard.hpp
@@ -10,6 +10,7 @@
 #include "policy/crash_attribution.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -54,6 +55,14 @@
     crash_guard(kv::store& store, io::http_client& client, const protocol_adapter& adapter,
                 std::string gateway);
 
+    /// A probe is sent once `may_send` has accepted it; `on_response` gets the head of its
+    /// response.
+    void on_probe(std::function<bool(const fleet::target&)> may_send,
+                  std::function<void(const fleet::target&, const target_response&)> on_response)
+    {
+        m_may_probe = std::move(may_send);
+        m_on_probe_response = std::move(on_response);
+    }
     /// The marks of a call of `caller`; `prompt_parts` is empty if it has no prompt.
     static call_marks marks_of(std::string_view service, std::string_view caller,
                                const io::http_request& request,
@@ -97,10 +106,13 @@
         fleet::target target;
         std::string health_path;
         bool is_probed = false;
+        /// To be probed as soon as that is accepted.
+        bool is_probe_due = false;
     };
 
     void probe(lost_target& it);
     void probe_unconfirmed();
+    void probe_due();
     std::vector<std::string> unconfirmed() const;
     void handle_probe(const std::string& key, io::call_outcome how,
                       const io::http_response& response);
@@ -121,6 +133,8 @@
     std::map<std::string, lost_target> m_lost;
     /// By the same keys.
     std::map<std::string, open_probe> m_probes;
+    std::function<bool(const fleet::target&)> m_may_probe;
+    std::function<void(const fleet::target&, const target_response&)> m_on_probe_response;
     std::uint64_t m_broadcast_version = 0;
     timestamp m_broadcast_at;
 };
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -64,7 +64,8 @@
                        { handle_peer_state(peer, it); }},
       m_retry_budget{
           m_settings.retries, {m_settings.common.host, std::random_device{}()}, common::now()},
-      m_crash_guard{store, client, adapter, m_settings.common.host},
+      m_crash_guard{store, client, adapter, m_settings.common.host}, m_rate_limiter{{},
+                                                                                    common::now()},
       m_success_log{"answered", success_lines_per_second}, m_failure_log{"refused_or_failed",
                                                                          failure_lines_per_second},
       m_server{loop,
@@ -77,6 +78,9 @@
           [this](const io::received_request& received, const io::responder_ptr& responder)
           { handle_admin_request(received, *responder); }}
 {
+    m_crash_guard.on_probe([this](const fleet::target& it) { return may_probe(it, common::now()); },
+                           [this](const fleet::target& it, const target_response& head)
+                           { note_cold(it, head); });
 }
 
 gateway::~gateway() = default;
@@ -128,6 +132,8 @@
         m_follower.note_draining(id, started_at, peer);
     for (const auto& [id, limit] : it.limits)
         m_follower.note_rate_limit(id, limit, peer);
+    for (const auto& [id, notice] : it.cold)
+        m_follower.note_cold(id, notice, peer);
     m_rate_limiter.update_peer_sends(peer, it.sends, now);
     m_crash_guard.merge({it.crashes, it.request_crashes}, now);
     if (it.retries)
@@ -147,6 +153,7 @@
     // A target at a reassigned address reports its own state, not that of the expected target.
     if (head.is_misdirected)
         return;
+    note_cold(it, head);
     if (head.is_draining)
     {
         m_metrics.count("kqg_leaving_answers_total");
@@ -177,6 +184,7 @@
     m_load_broadcast.write_metrics(m_metrics, now);
     m_crash_guard.write_metrics(m_metrics);
     m_metrics.set("kqg_limited_targets", static_cast<std::int64_t>(targets().limited().size()));
+    write_cold_metrics(now);
     for (const auto& it : m_services)
     {
         const auto& name = it.first;
@@ -229,11 +237,9 @@
     const auto limits = targets().limited();
     for (const auto* t : targets().usable(name, now))
     {
-        if (const auto found = limits.find(t->id);
-            found != limits.end() &&
-            !m_rate_limiter.may_send(t->id, found->second, m_follower.peers().size() + 1, now))
+        if (!may_send(*t, limits, now))
             continue;
-        auto limit = std::min(static_cast<double>(t->slots), max_streams);
+        auto limit = std::min(usable_slots(*t, now), max_streams);
         if (const auto slowdown = m_follower.slowdown_of(t->address); slowdown > 1)
             limit = std::min(limit, state.latency.max_streams_at_slowdown(slowdown));
         candidates.push_back(
@@ -307,11 +313,7 @@
     const auto now = common::now();
     m_crash_guard.tick(targets(), now, random(),
                        policy::load_broadcast_interval(m_follower.peers().size()));
-    const auto limits = targets().limited();
-    std::set<std::string> limited;
-    std::ranges::transform(limits, std::inserter(limited, limited.end()),
-                           [](const auto& it) { return it.first; });
-    m_rate_limiter.set_limited(limited, now);
+    update_send_limits(now);
     for (auto& [name, state] : m_services)
     {
         for (const auto id : state.queue.take_expired(now))
@@ -340,7 +342,7 @@
                    .draining = targets().draining_to_broadcast(now),
                    .crashes = std::move(evidence.parts),
                    .limits = {},
-                   .sends = m_rate_limiter.to_broadcast(targets().limited(), now),
+                   .sends = m_rate_limiter.to_broadcast(limited_rates(now), now),
                    .request_crashes = std::move(evidence.requests),
                    .retries = m_retry_budget.next_report(now)};
     // Each answer of a target confirms its limit, which is no reason to send all limits again.
@@ -348,6 +350,7 @@
         own.limits = targets().limits_to_broadcast(now);
     for (const auto& [name, state] : m_services)
         own.work.insert(state.picker.own_loads().begin(), state.picker.own_loads().end());
+    add_cold(own, now);
     if (m_load_broadcast.send(m_follower.peers(), own, now) && !own.limits.empty())
         m_limits_sent_at = now;
 }
@@ -370,8 +373,8 @@
 {
     const auto all = targets().usable(service, now);
     return std::accumulate(all.begin(), all.end(), std::size_t{0},
-                           [](std::size_t sum, const auto* it)
-                           { return sum + static_cast<std::size_t>(it->slots); });
+                           [&](std::size_t sum, const auto* it)
+                           { return sum + static_cast<std::size_t>(usable_slots(*it, now)); });
 }
 
 double gateway::usual_start_rate(const std::string& service, timestamp now)
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -130,6 +130,18 @@
     void handle_admin_request(const io::received_request& received, io::responder& responder);
     std::string pick_target(const std::string& name, service_state& state, const exchange& it,
                             timestamp now);
+    double cold_rate_of(const std::string& service) const;
+    std::set<std::string> rate_limited_cold(timestamp now) const;
+    bool may_send(const fleet::target& it, const std::map<std::string, double>& named_limits,
+                  timestamp now) const;
+    std::map<std::string, double> limited_rates(timestamp now) const;
+    void update_send_limits(timestamp now);
+    /// The slots of a target that are used now: fewer while it is cold.
+    double usable_slots(const fleet::target& it, timestamp now) const;
+    bool may_probe(const fleet::target& it, timestamp now);
+    void note_cold(const fleet::target& it, const target_response& head);
+    void add_cold(peer_state& own, timestamp now);
+    void write_cold_metrics(timestamp now);
     bool may_start(std::uint64_t id, timestamp now) const;
     bool is_own_trial_turn(const call_marks& marks, timestamp now) const;
     void tick();
@@ -170,6 +182,8 @@
     std::unique_ptr<io::http_server> m_metrics_server;
     std::unique_ptr<shell::settings_follower> m_settings_follower;
     timestamp m_limits_sent_at;
+    timestamp m_cold_sent_at;
+    std::uint64_t m_cold_sent_version = 0;
     timestamp m_shutdown_started_at;
     bool m_is_shutting_down = false;
     bool m_refuses_calls = false;
--- a/source/gateway/peer_message.cpp
+++ b/source/gateway/peer_message.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace kumquatgap::gateway
 {
 
@@ -91,6 +93,30 @@
     return out;
 }
 
+json to_json(const fleet::cold_notices& cold, timestamp now)
+{
+    auto out = json::object();
+    for (const auto& [target, it] : cold)
+        out[target] = {{"started", it.started_at},
+                       {"age_ms", (now - it.heard_at).count()},
+                       {"left_ms", (it.until - now).count()}};
+    return out;
+}
+
+fleet::cold_notices read_cold(const json& from, timestamp now)
+{
+    fleet::cold_notices out;
+    for (const auto& [target, it] : from.items())
+    {
+        const milliseconds left{std::min<std::int64_t>(
+            it.at("left_ms").get<std::int64_t>(), fleet::target_notices::max_cold_time.count())};
+        out.emplace(target,
+                    fleet::cold_notice{it.at("started").get<std::int64_t>(), now + left,
+                                       now - milliseconds{it.at("age_ms").get<std::int64_t>()}});
+    }
+    return out;
+}
+
 json to_json(const policy::recent_sends& sends, timestamp now)
 {
     auto out = json::object();
@@ -208,6 +234,8 @@
         message["sends"] = to_json(it.state.sends, now);
     if (it.state.retries)
         message["retries"] = to_json(*it.state.retries, now);
+    if (!it.state.cold.empty())
+        message["cold"] = to_json(it.state.cold, now);
     const auto bytes = json::to_cbor(message);
     return {bytes.begin(), bytes.end()};
 }
@@ -231,6 +259,7 @@
         out.state.sends = read_sends(message.value("sends", json::object()), now);
         if (message.contains("retries"))
             out.state.retries = read_retries(message.at("retries"), now);
+        out.state.cold = read_cold(message.value("cold", json::object()), now);
         return out;
     }
     catch (const json::exception& e)
--- a/source/gateway/peer_message.hpp
+++ b/source/gateway/peer_message.hpp
@@ -30,12 +30,13 @@
     policy::crash_evidence request_crashes = {};
     /// None while no gateway needs it.
     std::optional<policy::retry_report> retries = std::nullopt;
+    fleet::cold_notices cold = {};
 
     bool operator==(const peer_state&) const = default;
     bool empty() const
     {
         return work.empty() && draining.empty() && crashes.empty() && request_crashes.empty() &&
-               limits.empty() && sends.empty() && !retries;
+               limits.empty() && sends.empty() && !retries && cold.empty();
     }
 };
 
--- a/source/gateway/protocol_adapter.hpp
+++ b/source/gateway/protocol_adapter.hpp
@@ -64,6 +64,8 @@
     /// The requests per second that the target accepts from all gateways together; empty when it
     /// sets no limit.
     std::optional<double> rate_limit;
+    /// How much longer the target is cold; empty when the response does not say.
+    std::optional<milliseconds> cold_for = std::nullopt;
 };
 
 /// Maps a deployment's HTTP header fields and store keys to the gateway's types. Implementations
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -262,6 +262,7 @@
                  {"is_confirmed", is_confirmed ? 1 : 0}});
     found->written_at = {m_gossip.replica().era(), it.mod_revision};
     found->is_confirmed = is_confirmed;
+    note_entry_cold(*found);
     m_targets.put(std::move(*found), common::now());
 }
 
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -45,6 +45,8 @@
     /// received it.
     void note_rate_limit(const std::string& id, const fleet::rate_limit& limit,
                          std::string_view peer);
+    /// Records how long a target is still cold, as its response or `peer` says.
+    void note_cold(const std::string& id, const fleet::cold_notice& it, std::string_view peer);
     /// How many times slower than normal the target at an address is; 1 for normal speed.
     double slowdown_of(const std::string& address) const;
     /// The other gateways.
@@ -76,6 +78,7 @@
     void apply_slowdown(const kv::key_value& it);
     bool notify_entry_handler(const std::string& key, entry_change what);
     void apply_written(const kv::key_value& it);
+    void note_entry_cold(fleet::target& it);
     void apply_removed(const std::string& key, entry_change how);
     void adopt_configuration(const kv::key_value& it);
     bool may_adopt(const fleet::configuration& found, const kv::key_value& it);
--- a/source/unit_tests/gateway/peer_message_test.cpp
+++ b/source/unit_tests/gateway/peer_message_test.cpp
@@ -3,6 +3,7 @@
 #include "io/datagram_socket.hpp"
 
 #include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <string>
@@ -27,6 +28,27 @@
     "a4676c656176696e67a163652d371b000001a14628c83a656c6f616473a163652d30fa3f800000646e616d65"
     "69676174657761792d3165746f6b656e6174";
 
+/// A message of the release before cold targets (commit 51fe1bf) with draining targets, limits,
+/// sends and a report on retries.
+constexpr std::string_view s_old_full =
+    "a7676c656176696e67a163652d371b000001a14628c83a666c696d697473a163742d30a3666167655f6d7318"
+    "28657065725f73fa40200000677374617274656407656c6f616473a163652d30fa3f800000646e616d656967"
+    "6174657761792d316772657472696573a36461736b73f5636f776ea2687365727669636573a067736c6f745f"
+    "6d731901f46372756e056573656e6473a163742d3082190384181e65746f6b656e6174";
+
+peer_state old_full_state()
+{
+    peer_state out{
+        .work = {{"e-0", 1.0}},
+        .draining = {{"e-7", 1792178440250}},
+        .crashes = {},
+        .limits = {{"t-0", {7, 2.5, now - common::milliseconds{40}}}},
+        .sends = {{"t-0", {now - common::milliseconds{900}, now - common::milliseconds{30}}}}};
+    out.retries = policy::retry_report{
+        .run = 5, .is_asking = true, .own = {.slot_length = common::milliseconds{500}}};
+    return out;
+}
+
 std::string from_hex(std::string_view text)
 {
     constexpr int base = 16;
@@ -142,6 +164,60 @@
     cr_assert_eq((later - it->state.sends.at("t-0").front()).count(), 900);
 }
 
+/// Guards against gateways of two releases that don't read each other's messages.
+Test(peer_message, release_before_cold_targets_is_read_and_reads_this_one)
+{
+    const auto it = read_peer_message(from_hex(s_old_full), "t", now);
+    cr_assert(it.has_value());
+    cr_assert(it->state == old_full_state());
+    cr_assert(it->state.cold.empty());
+    cr_assert_eq(to_bytes({"gateway-1", old_full_state()}, "t", now), from_hex(s_old_full),
+                 "without cold targets the message is the same");
+    // That release ignores fields that it does not know.
+    auto state = old_full_state();
+    state.cold["t-0"] = {7, now + common::milliseconds{2000}, now};
+    auto message = nlohmann::json::from_cbor(to_bytes({"gateway-1", state}, "t", now));
+    cr_assert_eq(message.erase("cold"), 1U);
+    cr_assert(message == nlohmann::json::from_cbor(from_hex(s_old_full)));
+}
+
+Test(peer_message, cold_times_are_read_with_the_times_of_the_receiver)
+{
+    peer_state state;
+    state.cold["t-0"] = {7, now + common::milliseconds{2500}, now - common::milliseconds{40}};
+    cr_assert(!state.empty());
+    const auto later = now + common::milliseconds{5000};
+    const auto bytes = to_bytes({"g", state}, "t", now);
+    const auto it = read_peer_message(bytes, "t", later);
+    cr_assert(it.has_value());
+    cr_assert_eq(it->state.cold.at("t-0"),
+                 (fleet::cold_notice{7, later + common::milliseconds{2500},
+                                     later - common::milliseconds{40}}));
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        cr_assert(!read_peer_message(bytes.substr(0, n), "t", later).has_value());
+}
+
+/// Guards against a message that is too long when a large data centre returns.
+Test(peer_message, cold_times_of_many_targets_fit_a_datagram_beside_the_loads)
+{
+    constexpr int targets = 129;
+    fleet::target_notices notices;
+    peer_state state;
+    for (int t = 0; t < targets; ++t)
+    {
+        const auto id = "i-" + std::to_string(1'000'000'000 + t);
+        state.work[id] = t;
+        notices.note_cold(id, {1768948500781, now + common::milliseconds{3000}, now},
+                          fleet::notice_source::answer);
+        if (t < 64)
+            state.sends[id].assign(4, now - common::milliseconds{150});
+    }
+    state.cold = notices.cold_to_broadcast(now);
+    cr_assert_eq(state.cold.size(), fleet::target_notices::max_broadcast_cold);
+    cr_assert_leq(to_bytes({"gateway-1", state}, "t", now).size(),
+                  io::datagram_socket::max_message_bytes);
+}
+
 Test(peer_message, foreign_or_damaged_messages_are_refused)
 {
     const auto bytes = to_bytes(with_crash(), "t", now);
