--- a/source/gateway/state_follower_cold.cpp
+++ b/source/gateway/state_follower_cold.cpp
@@ -42,8 +42,10 @@
     if (it.started_at != 0)
         it.age = time_since(it.started_at);
     const auto now = common::now();
-    if (m_targets.note_entry_cold(it, now))
-        log_cold(it.id, {it.started_at, now + it.cold_for, now}, "entry");
+    if (!m_targets.note_entry_cold(it, now))
+        return;
+    const auto cold = m_targets.notices().cold_period_of(it.id, now);
+    log_cold(it.id, {it.started_at, cold ? cold->until : now, now}, "entry");
 }
 
 } // namespace kumquatgap::gateway
--- /dev/null
+++ b/tests/platform/gateway_cold_targets_test.cpp
@@ -0,0 +1,187 @@
+#include "gateway_deployment.hpp"
+
+#include "common/text.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+
+using namespace kumquatgap;
+using namespace kumquatgap::platform_tests;
+using stand_ins::scripted_target;
+
+namespace
+{
+
+using reply = scripted_target::reply;
+constexpr std::size_t targets = 3;
+constexpr std::size_t gateways = 3;
+constexpr double cold_per_s = 8;
+/// 8 x 1.5 + 5.
+constexpr std::ptrdiff_t most_in_a_second = 17;
+constexpr common::milliseconds cold_time{3000};
+/// Short, so that slots don't keep the calls below the limit.
+constexpr common::milliseconds work_time{5};
+constexpr std::size_t calls_at_once = 8;
+
+/// A service whose targets may be cold, behind gateways that callers overwhelm.
+class cold_service
+{
+public:
+    cold_service()
+    {
+        for (std::size_t i = 0; i < targets; ++i)
+            m_targets.push_back(&m_deployment.add_target(
+                name_of(i), "plain",
+                [this, i](const io::http_request& it, const reply& out) { receive(i, it, out); }));
+        auto config = m_deployment.config(5);
+        config["services"][0]["coldPerS"] = cold_per_s;
+        config["services"][0]["coldStartS"] = 3.0;
+        m_deployment.put_config(config);
+        // Its messages and those of the others are refused.
+        m_deployment.change_settings("deployment_token = t", "deployment_token = other", 2);
+        m_deployment.restart_gateway(2);
+        for (std::size_t i = 0; i < gateways; ++i)
+            cr_assert(m_deployment.wait_ready(i));
+        // A gateway sends nothing to cold targets just after its start.
+        m_deployment.run_for(common::milliseconds{1500});
+    }
+
+    gateway_deployment& deployment() { return m_deployment; }
+    std::string name_of(std::size_t i) const { return common::concat("t-", m_starts, "-", i); }
+
+    /// All targets crash and come back at once under other ids, and are cold.
+    void return_cold()
+    {
+        for (std::size_t i = 0; i < targets; ++i)
+            m_deployment.store().remove(common::concat("servers/", name_of(i)));
+        ++m_starts;
+        m_arrivals = {};
+        for (std::size_t i = 0; i < targets; ++i)
+            put_entry(i, cold_time);
+        m_cold_since = common::now();
+    }
+
+    void put_entry(std::size_t i, common::milliseconds cold_for)
+    {
+        const nlohmann::json it = {{"service", "plain"},   {"address", m_targets[i]->address()},
+                                   {"zone", "a"},          {"version", "v1"},
+                                   {"slots", 6},           {"state", "ready"},
+                                   {"sequence", m_starts}, {"coldRemainingMs", cold_for.count()}};
+        m_deployment.store().put(common::concat("servers/", name_of(i)), it.dump());
+    }
+
+    /// Keeps calls open at all gateways for a time.
+    void make_calls(common::milliseconds time)
+    {
+        const auto since = common::now();
+        while (common::now() - since < time)
+        {
+            std::erase_if(m_open, [](const auto& it) { return it.second->result.ended; });
+            for (std::size_t i = 0; i < gateways; ++i)
+            {
+                while (std::ranges::count(m_open, i, &open_entry::first) <
+                       static_cast<std::ptrdiff_t>(calls_at_once))
+                    m_open.emplace_back(
+                        i, m_deployment.begin(
+                               m_deployment.request("/read/x", common::concat("c", ++m_calls)), i));
+            }
+            m_deployment.run_for(common::milliseconds{10});
+        }
+    }
+
+    /// The requests since the last start of the targets, without those for earlier starts.
+    const std::vector<common::timestamp>& arrivals(std::size_t i) const { return m_arrivals[i]; }
+
+    std::ptrdiff_t most_arrivals_in_a_second(std::size_t i) const
+    {
+        std::ptrdiff_t most = 0;
+        const auto& all = m_arrivals[i];
+        for (auto it = all.begin(); it != all.end() && *it < m_cold_since + cold_time; ++it)
+            most = std::max(most, std::upper_bound(it, all.end(),
+                                                   std::min(*it + common::milliseconds{1000},
+                                                            m_cold_since + cold_time)) -
+                                      it);
+        return most;
+    }
+
+    void set_header(const std::string& text) { m_header = text; }
+
+private:
+    using open_entry = std::pair<std::size_t, std::shared_ptr<open_call>>;
+
+    void receive(std::size_t i, const io::http_request& request, const reply& out)
+    {
+        if (request.headers.find("x-expect-instance") != name_of(i))
+            return out.write(whole_answer(request, 421, "", "X-Not-Executed: 1\r\n"));
+        m_arrivals[i].push_back(common::now());
+        const auto answer = whole_answer(request, 200, "ok", m_header);
+        std::erase_if(m_timers, [](const auto& it) { return it.first < common::now(); });
+        m_timers.emplace_back(
+            common::now() + 2 * work_time,
+            m_deployment.loop().after(work_time, [out, answer] { out.write(answer); }));
+    }
+
+    gateway_deployment m_deployment{gateways};
+    std::vector<scripted_target*> m_targets;
+    std::array<std::vector<common::timestamp>, targets> m_arrivals;
+    std::vector<std::pair<common::timestamp, io::timer_handle>> m_timers;
+    std::vector<open_entry> m_open;
+    std::string m_header;
+    common::timestamp m_cold_since;
+    int m_starts = 0;
+    int m_calls = 0;
+};
+
+} // namespace
+
+/// Guards against a burst of calls to targets that return cold and look idle, of which one gateway
+/// hears no other.
+Test(gateway_cold_targets, returned_targets_get_no_more_than_they_can_handle)
+{
+    cold_service service;
+    service.make_calls(common::milliseconds{500});
+    service.return_cold();
+    const auto since = common::now();
+    service.make_calls(common::milliseconds{2900});
+    for (std::size_t i = 0; i < targets; ++i)
+    {
+        const auto most = service.most_arrivals_in_a_second(i);
+        cr_assert_leq(most, most_in_a_second, "target %zu: %td in a second", i, most);
+        const auto used =
+            std::ranges::count_if(service.arrivals(i), [&](auto at) { return at >= since; });
+        cr_assert_geq(used, 5, "target %zu: %td", i, used);
+    }
+    cr_assert(service.deployment().log(0).find("target_cold target=t-1-0") != std::string::npos);
+    // The limit ends with the cold time.
+    service.make_calls(common::milliseconds{1500});
+    const auto warm = std::ranges::count_if(service.arrivals(0), [&](auto at)
+                                            { return at >= since + common::milliseconds{3200}; });
+    cr_assert_gt(warm, most_in_a_second * 2);
+}
+
+/// Guards against a gateway that does not hear from the others that a target has become cold while
+/// it runs, and against a cold time that outlasts the entry.
+Test(gateway_cold_targets, cold_time_of_a_response_reaches_the_other_gateways)
+{
+    cold_service service;
+    service.set_header("X-Cold-Ms: 60000\r\n");
+    auto& deployment = service.deployment();
+    deployment.call(deployment.request("/read/x", "first"), 0);
+    cr_assert(deployment.log(0).find("heard_from=answer") != std::string::npos);
+    cr_assert(deployment.wait_until(
+        [&] { return deployment.log(1).find("heard_from=gateway-0") != std::string::npos; }));
+    cr_assert(deployment.log(2).find("target_cold") == std::string::npos, "it is cut off");
+    service.set_header("");
+    for (std::size_t i = 0; i < targets; ++i)
+        service.put_entry(i, common::milliseconds{0});
+    const auto before = service.arrivals(0).size();
+    cr_assert(deployment.wait_until(
+        [&]
+        {
+            service.make_calls(common::milliseconds{100});
+            return service.arrivals(0).size() > before + 100;
+        }));
+}
