--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -373,8 +373,8 @@
 {
     const auto all = targets().usable(service, now);
     return std::accumulate(all.begin(), all.end(), std::size_t{0},
-                           [&](std::size_t sum, const auto* it)
-                           { return sum + static_cast<std::size_t>(usable_slots(*it, now)); });
+                           [](std::size_t sum, const auto* it)
+                           { return sum + static_cast<std::size_t>(it->slots); });
 }
 
 double gateway::usual_start_rate(const std::string& service, timestamp now)
--- a/tests/platform/gateway_cold_targets_test.cpp
+++ b/tests/platform/gateway_cold_targets_test.cpp
@@ -30,19 +30,22 @@
 class cold_service
 {
 public:
-    cold_service()
+    explicit cold_service(double per_s = cold_per_s, bool is_one_cut_off = true)
     {
         for (std::size_t i = 0; i < targets; ++i)
             m_targets.push_back(&m_deployment.add_target(
                 name_of(i), "plain",
                 [this, i](const io::http_request& it, const reply& out) { receive(i, it, out); }));
         auto config = m_deployment.config(5);
-        config["services"][0]["coldPerS"] = cold_per_s;
+        config["services"][0]["coldPerS"] = per_s;
         config["services"][0]["coldStartS"] = 3.0;
         m_deployment.put_config(config);
-        // Its messages and those of the others are refused.
-        m_deployment.change_settings("deployment_token = t", "deployment_token = other", 2);
-        m_deployment.restart_gateway(2);
+        if (is_one_cut_off)
+        {
+            // Its messages and those of the others are refused.
+            m_deployment.change_settings("deployment_token = t", "deployment_token = other", 2);
+            m_deployment.restart_gateway(2);
+        }
         for (std::size_t i = 0; i < gateways; ++i)
             cr_assert(m_deployment.wait_ready(i));
         // A gateway sends nothing to cold targets just after its start.
@@ -59,6 +62,8 @@
             m_deployment.store().remove(common::concat("servers/", name_of(i)));
         ++m_starts;
         m_arrivals = {};
+        m_at_once = {};
+        m_most_at_once = {};
         for (std::size_t i = 0; i < targets; ++i)
             put_entry(i, cold_time);
         m_cold_since = common::now();
@@ -107,6 +112,9 @@
         return most;
     }
 
+    /// The most requests that a target has had at once since its last start.
+    std::ptrdiff_t most_at_once(std::size_t i) const { return m_most_at_once[i]; }
+    void set_work_time(common::milliseconds time) { m_work_time = time; }
     void set_header(const std::string& text) { m_header = text; }
 
 private:
@@ -117,16 +125,24 @@
         if (request.headers.find("x-expect-instance") != name_of(i))
             return out.write(whole_answer(request, 421, "", "X-Not-Executed: 1\r\n"));
         m_arrivals[i].push_back(common::now());
+        m_most_at_once[i] = std::max(m_most_at_once[i], ++m_at_once[i]);
         const auto answer = whole_answer(request, 200, "ok", m_header);
         std::erase_if(m_timers, [](const auto& it) { return it.first < common::now(); });
-        m_timers.emplace_back(
-            common::now() + 2 * work_time,
-            m_deployment.loop().after(work_time, [out, answer] { out.write(answer); }));
+        m_timers.emplace_back(common::now() + 2 * m_work_time,
+                              m_deployment.loop().after(m_work_time,
+                                                        [this, i, out, answer, at = m_starts]
+                                                        {
+                                                            m_at_once[i] -= at == m_starts ? 1 : 0;
+                                                            out.write(answer);
+                                                        }));
     }
 
     gateway_deployment m_deployment{gateways};
     std::vector<scripted_target*> m_targets;
     std::array<std::vector<common::timestamp>, targets> m_arrivals;
+    std::array<std::ptrdiff_t, targets> m_at_once{};
+    std::array<std::ptrdiff_t, targets> m_most_at_once{};
+    common::milliseconds m_work_time = work_time;
     std::vector<std::pair<common::timestamp, io::timer_handle>> m_timers;
     std::vector<open_entry> m_open;
     std::string m_header;
@@ -185,3 +201,54 @@
             return service.arrivals(0).size() > before + 100;
         }));
 }
+
+/// Guards against targets that return cold, look idle, and draw all calls at once though their
+/// service names no rate.
+Test(gateway_cold_targets, returned_targets_without_a_rate_start_slowly)
+{
+    cold_service service{0, false};
+    service.set_work_time(common::milliseconds{100});
+    service.make_calls(common::milliseconds{300});
+    service.return_cold();
+    service.make_calls(common::milliseconds{800});
+    for (std::size_t i = 0; i < targets; ++i)
+    {
+        // One of six slots, which all gateways may find free at the same moment.
+        cr_assert_leq(service.most_at_once(i), static_cast<std::ptrdiff_t>(gateways));
+        cr_assert_geq(service.arrivals(i).size(), 3U);
+    }
+    service.make_calls(common::milliseconds{3000});
+    for (std::size_t i = 0; i < targets; ++i)
+        cr_assert_gt(service.most_at_once(i), static_cast<std::ptrdiff_t>(gateways));
+}
+
+/// Guards against health checks that a cold target gets beside the requests that it can handle.
+Test(gateway_cold_targets, health_check_counts_as_a_request)
+{
+    gateway_deployment deployment;
+    common::timestamp checked_at;
+    common::timestamp called_at;
+    const auto script = [&](const io::http_request& it, const reply& out)
+    {
+        if (it.path == "/act/x")
+        {
+            // A lost connection after the head makes the gateway check the target.
+            out.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+            return out.close();
+        }
+        (it.path == "/health" ? checked_at : called_at) = common::now();
+        out.write(whole_answer(it, 200, "ok", "X-Cold-Ms: 60000\r\n"));
+    };
+    deployment.add_target("t-0", "plain", script);
+    auto config = deployment.config(5);
+    config["services"][0]["coldPerS"] = 1;
+    deployment.put_config(config);
+    cr_assert(deployment.wait_ready());
+    cr_assert_eq(deployment.call(deployment.request("/read/x", "r0")).answer.status, 200);
+    // Until the burst of two requests is free.
+    deployment.run_for(common::milliseconds{3500});
+    deployment.call(deployment.request("/act/x", "a0"));
+    cr_assert(deployment.wait_until([&] { return checked_at != common::timestamp{}; }));
+    cr_assert_eq(deployment.call(deployment.request("/read/x", "r1")).answer.status, 200);
+    cr_assert_geq((called_at - checked_at).count(), 500);
+}
