--- a/source/core/fleet/target_eligibility.cpp
+++ b/source/core/fleet/target_eligibility.cpp
@@ -12,7 +12,7 @@
 
 /// In the order of the variant.
 constexpr auto s_names = std::to_array<std::string_view>(
-    {"draining", "busy", "rate_limited", "evacuated", "outside_permitted_regions"});
+    {"draining", "busy", "rate_limited", "cold", "evacuated", "outside_permitted_regions"});
 static_assert(s_names.size() == ineligibility_count);
 
 } // namespace
@@ -67,9 +67,11 @@
 {
     if (const auto why = judge_apart_from_rate(it, regions, now))
         return why;
-    if (m_may_send && !m_may_send(it, now))
-        return rate_limited{};
-    return std::nullopt;
+    if (!m_may_send || m_may_send(it, now))
+        return std::nullopt;
+    if (const auto period = m_targets.notices().cold_period_of(it.id, now))
+        return cold{period->until};
+    return rate_limited{};
 }
 
 std::vector<const target*> target_eligibility::eligible(std::string_view service,
--- a/source/core/fleet/target_eligibility.hpp
+++ b/source/core/fleet/target_eligibility.hpp
@@ -31,6 +31,12 @@
 {
 };
 
+/// The target is cold, and the rate that it can handle until then is used up.
+struct cold
+{
+    timestamp until;
+};
+
 /// The operator evacuates the target's data centre.
 struct evacuated
 {
@@ -45,7 +51,7 @@
 /// Why a call is not sent to a target. A new reason also needs a row in the name table, and
 /// target_eligibility::judge() to find it.
 using ineligibility =
-    std::variant<draining, busy, rate_limited, evacuated, outside_permitted_regions>;
+    std::variant<draining, busy, rate_limited, cold, evacuated, outside_permitted_regions>;
 
 /// The number of reasons; a reason's number is its index in the variant.
 inline constexpr std::size_t ineligibility_count = std::variant_size_v<ineligibility>;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -66,9 +66,9 @@
       m_retry_budget{
           m_settings.retries, {m_settings.common.host, std::random_device{}()}, common::now()},
       m_crash_guard{store, client, adapter, m_follower.evacuated(), m_settings.common.host},
+      m_rate_limiter{{}, common::now()},
       m_eligibility{m_follower.targets(), m_follower.evacuated(), m_settings.regions,
-                    [this](const fleet::target& it, timestamp now)
-                    { return may_send_at_rate(it, now); }},
+                    [this](const fleet::target& it, timestamp now) { return may_send(it, now); }},
       m_success_log{"answered", success_lines_per_second}, m_failure_log{"refused_or_failed",
                                                                          failure_lines_per_second},
       m_server{loop,
@@ -81,6 +81,9 @@
           [this](const io::received_request& received, const io::responder_ptr& responder)
           { handle_admin_request(received, *responder); }}
 {
+    m_crash_guard.on_probe([this](const fleet::target& it) { return may_probe(it, common::now()); },
+                           [this](const fleet::target& it, const target_response& head)
+                           { note_cold(it, head); });
 }
 
 gateway::~gateway() = default;
@@ -132,6 +135,8 @@
         m_follower.note_draining(id, started_at, peer);
     for (const auto& [id, limit] : it.limits)
         m_follower.note_rate_limit(id, limit, peer);
+    for (const auto& [id, notice] : it.cold)
+        m_follower.note_cold(id, notice, peer);
     m_rate_limiter.update_peer_sends(peer, it.sends, now);
     m_crash_guard.merge({it.crashes, it.request_crashes}, now);
     if (it.retries)
@@ -151,6 +156,7 @@
     // A target at a reassigned address reports its own state, not that of the expected target.
     if (head.is_misdirected)
         return;
+    note_cold(it, head);
     if (head.is_draining)
     {
         m_metrics.count("kqg_leaving_answers_total");
@@ -182,6 +188,7 @@
     m_crash_guard.write_metrics(m_metrics);
     write_placement_metrics();
     m_metrics.set("kqg_limited_targets", static_cast<std::int64_t>(targets().limited().size()));
+    write_cold_metrics(now);
     for (const auto& it : m_services)
     {
         const auto& name = it.first;
@@ -308,11 +315,7 @@
         return;
     m_crash_guard.tick(targets(), now, random(),
                        policy::load_broadcast_interval(m_follower.peers().size()));
-    const auto limits = targets().limited();
-    std::set<std::string> limited;
-    std::ranges::transform(limits, std::inserter(limited, limited.end()),
-                           [](const auto& it) { return it.first; });
-    m_rate_limiter.set_limited(limited, now);
+    update_send_limits(now);
     for (auto& [name, state] : m_services)
     {
         for (const auto id : state.queue.take_expired(now))
@@ -342,7 +345,7 @@
                    .draining = targets().draining_to_broadcast(now),
                    .crashes = std::move(evidence.parts),
                    .limits = {},
-                   .sends = m_rate_limiter.to_broadcast(targets().limited(), now),
+                   .sends = m_rate_limiter.to_broadcast(limited_rates(now), now),
                    .request_crashes = std::move(evidence.requests),
                    .retries = m_retry_budget.next_report(now)};
     // Each answer of a target confirms its limit, which is no reason to send all limits again.
@@ -350,6 +353,7 @@
         own.limits = targets().limits_to_broadcast(now);
     for (const auto& [name, state] : m_services)
         own.work.insert(state.picker.own_loads().begin(), state.picker.own_loads().end());
+    add_cold(own, now);
     if (m_load_broadcast.send(m_follower.peers(), own, now) && !own.limits.empty())
         m_limits_sent_at = now;
 }
--- a/source/gateway/placement.cpp
+++ b/source/gateway/placement.cpp
@@ -73,12 +73,6 @@
         it->leave_evacuated_target();
 }
 
-bool gateway::may_send_at_rate(const fleet::target& it, timestamp now) const
-{
-    const auto limit = targets().rate_limit_of(it.id);
-    return !limit || m_rate_limiter.may_send(it.id, *limit, m_follower.peers().size() + 1, now);
-}
-
 /// Returns the target for the call; empty when no target has a free slot.
 std::string gateway::pick_target(const std::string& name, service_state& state, const exchange& it,
                                  timestamp now)
@@ -94,7 +88,7 @@
             ++m_skipped_targets.at(why->index());
             continue;
         }
-        auto limit = std::min(static_cast<double>(t->slots), max_streams);
+        auto limit = std::min(usable_slots(*t, now), max_streams);
         if (const auto slowdown = m_follower.slowdown_of(t->address); slowdown > 1)
             limit = std::min(limit, state.latency.max_streams_at_slowdown(slowdown));
         candidates.push_back(
