--- a/source/unit_tests/policy/cold_rate_test.cpp
+++ b/source/unit_tests/policy/cold_rate_test.cpp
@@ -11,7 +11,7 @@
 
 constexpr unsigned seeds = 5;
 
-void assert_within_limit(cold_rate_simulation it, const char* what)
+void assert_within_limit(const cold_rate_simulation& it, const char* what)
 {
     for (unsigned seed = 1; seed <= seeds; ++seed)
     {
