Count a response without a cold time only against older notices

A response may have been written before its target became cold, and the first entry that a gateway reads before other gateways said more.

--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -98,9 +98,16 @@
         return false;
     auto left = it.cold_for;
     const auto known = m_rows.find(it.id);
-    const bool is_first = known == m_rows.end() || known->second.entry.started_at != it.started_at;
-    if (is_first && it.age)
-        left = std::clamp(left + max_clock_difference - *it.age, milliseconds{0}, left);
+    if (known == m_rows.end() || known->second.entry.started_at != it.started_at)
+    {
+        if (it.age)
+            left = std::clamp(left + max_clock_difference - *it.age, milliseconds{0}, left);
+        // It may be older than what responses or other gateways have said since.
+        m_notices.entry_updated(it.id, it.started_at);
+        const auto heard = m_notices.cold_period_of(it.id, now);
+        if (left.count() == 0 || (heard && heard->until >= now + left))
+            return false;
+    }
     return m_notices.note_cold(it.id, {it.started_at, now + left, now}, notice_source::answer);
 }
 
--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -83,7 +83,7 @@
     m_last_activity = common::now();
     m_head_at = m_last_activity;
     m_head = m_gateway.adapter().read_response(head);
-    m_gateway.apply_target_notices(m_options.target, m_head);
+    m_gateway.apply_target_notices(m_options.target, m_head, m_started);
     m_status = head.status;
     m_is_stream = m_options.expects_stream && head.status == http_ok && !m_head.is_not_executed &&
                   !m_head.is_encoded && m_head.request_id == m_options.request_id;
--- a/source/gateway/crash_guard.cpp
+++ b/source/gateway/crash_guard.cpp
@@ -119,6 +119,7 @@
     request.headers =
         m_adapter.target_request_headers(request, {it.target.id, {}, probe_timeout, {}});
     request.headers.add("Host", it.target.address);
+    m_probes[key].sent_at = common::now();
     m_probes[key].call = m_client.send(
         it.target.address, request,
         {.on_end = [this, key](io::call_outcome how, const io::http_response& response)
@@ -133,8 +134,6 @@
 {
     const auto head = m_adapter.read_response(response);
     const bool is_gone = how == io::call_outcome::not_connected || head.is_misdirected;
-    if (const auto lost = m_lost.find(key); lost != m_lost.end() && m_on_probe_response && !is_gone)
-        m_on_probe_response(lost->second.target, head);
     common::log(common::log_level::info, "target_probed",
                 {{"target", key},
                  {"end", io::name_of(how)},
@@ -147,8 +146,13 @@
         m_requests.attribution().record_alive(key);
     if (!is_gone && how == io::call_outcome::complete)
         m_parts.attribution().record_alive(key);
-    if (const auto it = m_probes.find(key); it != m_probes.end())
-        it->second.has_ended = true;
+    const auto it = m_probes.find(key);
+    if (it == m_probes.end())
+        return;
+    it->second.has_ended = true;
+    const auto lost = m_lost.find(key);
+    if (lost != m_lost.end() && m_on_probe_response && !is_gone)
+        m_on_probe_response(lost->second.target, head, it->second.sent_at);
 }
 
 void crash_guard::record_gone(const fleet::target& it, timestamp now)
--- a/source/gateway/crash_guard.hpp
+++ b/source/gateway/crash_guard.hpp
@@ -55,10 +55,12 @@
     crash_guard(kv::store& store, io::http_client& client, const protocol_adapter& adapter,
                 std::string gateway);
 
+    using probe_handler =
+        std::function<void(const fleet::target&, const target_response&, timestamp sent_at)>;
+
     /// A probe is sent once `may_send` has accepted it; `on_response` gets the head of its
     /// response.
-    void on_probe(std::function<bool(const fleet::target&)> may_send,
-                  std::function<void(const fleet::target&, const target_response&)> on_response)
+    void on_probe(std::function<bool(const fleet::target&)> may_send, probe_handler on_response)
     {
         m_may_probe = std::move(may_send);
         m_on_probe_response = std::move(on_response);
@@ -122,6 +124,7 @@
     struct open_probe
     {
         io::call_handle call;
+        timestamp sent_at;
         bool has_ended = false;
     };
 
@@ -134,7 +137,7 @@
     /// By the same keys.
     std::map<std::string, open_probe> m_probes;
     std::function<bool(const fleet::target&)> m_may_probe;
-    std::function<void(const fleet::target&, const target_response&)> m_on_probe_response;
+    probe_handler m_on_probe_response;
     std::uint64_t m_broadcast_version = 0;
     timestamp m_broadcast_at;
 };
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -79,8 +79,8 @@
           { handle_admin_request(received, *responder); }}
 {
     m_crash_guard.on_probe([this](const fleet::target& it) { return may_probe(it, common::now()); },
-                           [this](const fleet::target& it, const target_response& head)
-                           { note_cold(it, head); });
+                           [this](const fleet::target& it, const target_response& head,
+                                  timestamp sent_at) { note_cold(it, head, sent_at); });
 }
 
 gateway::~gateway() = default;
@@ -148,12 +148,13 @@
         broadcast_state(now);
 }
 
-void gateway::apply_target_notices(const fleet::target& it, const target_response& head)
+void gateway::apply_target_notices(const fleet::target& it, const target_response& head,
+                                   timestamp sent_at)
 {
     // A target at a reassigned address reports its own state, not that of the expected target.
     if (head.is_misdirected)
         return;
-    note_cold(it, head);
+    note_cold(it, head, sent_at);
     if (head.is_draining)
     {
         m_metrics.count("kqg_leaving_answers_total");
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -96,8 +96,10 @@
     /// How many times slower than normal the target runs; 1 when nothing is known.
     double slowdown_of(const fleet::target& it) const { return m_follower.slowdown_of(it.address); }
     void release_address(const std::string& id) { m_follower.release_address(id); }
-    /// Applies the notices (draining, busy) in a target's response head.
-    void apply_target_notices(const fleet::target& it, const target_response& head);
+    /// Applies the notices (draining, busy, cold) in the head of a target's response to a request
+    /// sent at `sent_at`.
+    void apply_target_notices(const fleet::target& it, const target_response& head,
+                              timestamp sent_at);
     /// The store revision of the state that decisions are based on.
     kv::revision state_revision() const { return m_follower.as_of(); }
     std::shared_ptr<const fleet::configuration> configuration() const
@@ -139,7 +141,7 @@
     /// The slots of a target that are used now: fewer while it is cold.
     double usable_slots(const fleet::target& it, timestamp now) const;
     bool may_probe(const fleet::target& it, timestamp now);
-    void note_cold(const fleet::target& it, const target_response& head);
+    void note_cold(const fleet::target& it, const target_response& head, timestamp sent_at);
     void add_cold(peer_state& own, timestamp now);
     void write_cold_metrics(timestamp now);
     bool may_start(std::uint64_t id, timestamp now) const;
--- a/source/gateway/gateway_cold.cpp
+++ b/source/gateway/gateway_cold.cpp
@@ -131,12 +131,16 @@
     return true;
 }
 
-void gateway::note_cold(const fleet::target& it, const target_response& head)
+/// `sent_at` is when the request of the response was sent.
+void gateway::note_cold(const fleet::target& it, const target_response& head, timestamp sent_at)
 {
     if (!head.cold_for || head.is_misdirected)
         return;
+    // The target may have become cold since it wrote this response, so one that says that it is not
+    // cold counts only against notices from before its request.
     const auto now = common::now();
-    m_follower.note_cold(it.id, {it.started_at, now + *head.cold_for, now}, {});
+    const auto heard_at = head.cold_for->count() == 0 ? sent_at : now;
+    m_follower.note_cold(it.id, {it.started_at, heard_at + *head.cold_for, heard_at}, {});
 }
 
 void gateway::add_cold(peer_state& own, timestamp now)
--- a/source/unit_tests/fleet/cold_targets_test.cpp
+++ b/source/unit_tests/fleet/cold_targets_test.cpp
@@ -86,6 +86,18 @@
     cr_assert(!is_cold(clock_behind, start + cold_time));
 }
 
+/// Guards against an old entry that ends a cold time which began after it was written.
+Test(cold_targets, old_entry_that_is_read_first_does_not_end_the_cold_time)
+{
+    for (const auto cold_for : {milliseconds{0}, cold_time})
+    {
+        target_table it;
+        it.note_cold("a", {50, start + 5 * second, start}, notice_source::peer);
+        cr_assert(!read(it, one(cold_for, 60 * second), start + second));
+        cr_assert(is_cold(it, start + 4 * second));
+    }
+}
+
 /// Guards against a rule on old entries that misses a target which becomes cold while it runs.
 Test(cold_targets, later_entry_counts_from_when_it_is_read)
 {
--- a/tests/platform/gateway_cold_targets_test.cpp
+++ b/tests/platform/gateway_cold_targets_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway_deployment.hpp"
 
 #include "common/text.hpp"
+#include "platform_wire.hpp"
 
 #include <criterion/criterion.h>
 
@@ -252,3 +253,50 @@
     cr_assert_eq(deployment.call(deployment.request("/read/x", "r1")).answer.status, 200);
     cr_assert_geq((called_at - checked_at).count(), 500);
 }
+
+/// Guards against a field of another type that makes the configuration or an entry unreadable.
+Test(gateway_cold_targets, cold_fields_are_read)
+{
+    const platform::platform_adapter adapter;
+    gateway_deployment deployment{0};
+    auto config = deployment.config(5);
+    config["services"][0]["coldPerS"] = 26;
+    config["services"][0]["coldStartS"] = 2.5;
+    config["services"][1]["coldPerS"] = nullptr;
+    config["services"][1]["coldStartS"] = "3";
+    const auto read = adapter.read_configuration(config.dump());
+    cr_assert(read.has_value());
+    cr_assert_eq(read->services.at("plain").cold_per_second, 26);
+    cr_assert_eq(read->services.at("plain").cold_time.count(), 2500);
+    cr_assert_eq(read->services.at("engine").cold_per_second, 0);
+    cr_assert_eq(read->services.at("engine").cold_time.count(), 0);
+    nlohmann::json entry = {{"service", "plain"},
+                            {"address", "10.0.0.1:80"},
+                            {"zone", "a"},
+                            {"slots", 2},
+                            {"state", "ready"}};
+    cr_assert_eq(adapter.read_target("t", entry.dump())->cold_for.count(), 0);
+    const std::vector<std::pair<nlohmann::json, std::int64_t>> times = {
+        {1500, 1500}, {0.4, 0}, {-3, 0}, {"9", 0}, {nullptr, 0}, {1e300, 600'000}};
+    for (const auto& [value, expected] : times)
+    {
+        entry["coldRemainingMs"] = value;
+        cr_assert_eq(adapter.read_target("t", entry.dump())->cold_for.count(), expected);
+    }
+}
+
+/// Guards against a header of another form that makes a target cold for ever, or warm.
+Test(gateway_cold_targets, cold_header_is_read)
+{
+    const platform::platform_adapter adapter;
+    const auto read = [&](const std::string& text) {
+        return adapter.read_response({200, {{"X-Cold-Ms", text}}, {}}).cold_for;
+    };
+    cr_assert_eq(read("2500")->count(), 2500);
+    cr_assert_eq(read("0")->count(), 0);
+    cr_assert_eq(read("1e9").has_value(), false);
+    cr_assert_eq(read("99999999999999999999")->count(), 600'000);
+    for (const auto* text : {"-1", "soon", "nan", "inf", ""})
+        cr_assert(!read(text).has_value(), "%s", text);
+    cr_assert(!adapter.read_response({200, {}, {}}).cold_for.has_value());
+}
