Count only the entries of a gateway's first read from the targets' starts

A target may take seconds to start before it writes its entry, so the age of its start says nothing about an entry that was written just now.

--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -101,7 +101,7 @@
     if (known == m_rows.end() || known->second.entry.started_at != it.started_at)
     {
         if (it.age)
-            left = std::clamp(left + max_clock_difference - *it.age, milliseconds{0}, left);
+            left = std::clamp(left + max_write_delay - *it.age, milliseconds{0}, left);
         // It may be older than what responses or other gateways have said since.
         m_notices.entry_updated(it.id, it.started_at);
         const auto heard = m_notices.cold_period_of(it.id, now);
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -38,7 +38,8 @@
     std::int64_t started_at = 0;
     /// How much longer the target is cold, as its entry says; 0 when it is not cold.
     milliseconds cold_for{0};
-    /// The time since `started_at`, by this host's calendar clock; none when it is not known.
+    /// The time since `started_at` by this host's calendar clock, for an entry that may have been
+    /// written long ago; none for one that was written just now.
     std::optional<milliseconds> age = std::nullopt;
 };
 
@@ -102,16 +103,17 @@
     /// The earliest time at which a target of the service accepts calls again, if all targets that
     /// are in service have asked for no calls; none otherwise.
     std::optional<timestamp> all_busy_until(std::string_view service, timestamp now) const;
-    /// The calendar clocks of two hosts differ by less than this.
-    static constexpr milliseconds max_clock_difference{2000};
+    /// A target writes its entry at most this long after the start that the entry names, by the
+    /// calendar clocks of two hosts.
+    static constexpr milliseconds max_write_delay{5000};
     /// How long a target is still cold, as a response or another gateway says; see target_notices.
     bool note_cold(const std::string& id, const cold_notice& it, notice_source from)
     {
         return m_notices.note_cold(id, it, from);
     }
     /// How long a target is still cold, as its entry says, which is put next. The entry does not
-    /// say when it was written: the first one of a start counts from that start, and a later one
-    /// from now. True when the target has become cold, or is no longer cold.
+    /// say when it was written: it counts from now, or from the target's start if its age is known.
+    /// True when the target has become cold, or is no longer cold.
     bool note_entry_cold(const target& it, timestamp now);
     const target_notices& notices() const { return m_notices; }
     /// Removes notices that no longer apply.
--- a/source/gateway/state_follower_cold.cpp
+++ b/source/gateway/state_follower_cold.cpp
@@ -39,7 +39,10 @@
 
 void state_follower::note_entry_cold(fleet::target& it)
 {
-    if (it.started_at != 0)
+    // The first read of the store shows entries of any age. Later, what is new to this gateway was
+    // written since its last look.
+    const bool is_first_read = !m_applied_era;
+    if (is_first_read && it.started_at != 0)
         it.age = time_since(it.started_at);
     const auto now = common::now();
     if (!m_targets.note_entry_cold(it, now))
