Keep an idempotent call at its target while others are as slow

A call that had taken twice its goal (at least 250 ms) left its target for the first free slot elsewhere. When all targets of a service were slower than that, the first call that ended freed a slot, and the waiting calls moved to it although their own targets were about to answer. The trace of gateway_moves_test, slow_idempotent_calls_keep_their_slots: r2 is answered after 900 ms; in the same millisecond retry_granted and attempt_stalled silent_ms=900 move r1 to the freed slot; its old target answers the call beside it 1 ms later; r1 is answered after 1,799 ms. In another failed run three calls changed places, each after 898 ms.

A call now also stays until it has taken twice as long (the picker's slow_ratio) as the fastest of the other targets takes to respond. It leaves earlier, but not before 1.25 times that time, when another target could not respond before the deadline otherwise. Targets without a response so far don't count, so a target that is slow compared with the others is left as before. The last response time counts beside the mean, so that targets that have all become slow are known to be slow after one response each.

Ruled out: a fault of the test (the four calls start within 1 ms and have four slots; the fifth arrival is the gateway's own retry), the ejection of the targets at 400 ms (no call moves before a slot is free), the retry budget (17 allowed, 1 to 3 used).

--- a/source/core/policy/least_load_picker.cpp
+++ b/source/core/policy/least_load_picker.cpp
@@ -38,6 +38,7 @@
         state.consecutive_failures = 0;
         state.consecutive_ejections = 0;
         const auto ms = static_cast<double>(response_time.count());
+        state.last_response_ms = ms;
         state.response_ms =
             state.response_ms == 0
                 ? ms
@@ -115,6 +116,23 @@
     return milliseconds{n == 0 ? 0 : std::llround(sum / n)};
 }
 
+/// The last response counts beside the mean, so that targets that have all become slow are known to
+/// be slow after one response each.
+milliseconds
+least_load_picker::expected_response_time(const std::vector<std::string>& targets) const
+{
+    double fastest_ms = 0;
+    for (const auto& id : targets)
+    {
+        const auto it = m_health.find(id);
+        if (it == m_health.end() || it->second.response_ms == 0)
+            continue;
+        const auto ms = std::max(it->second.response_ms, it->second.last_response_ms);
+        fastest_ms = fastest_ms == 0 ? ms : std::min(fastest_ms, ms);
+    }
+    return milliseconds{std::llround(fastest_ms)};
+}
+
 double least_load_picker::slowness(const std::string& target, double fastest_ms) const
 {
     const auto it = m_health.find(target);
--- a/source/core/policy/least_load_picker.hpp
+++ b/source/core/policy/least_load_picker.hpp
@@ -85,6 +85,11 @@
     bool is_ejected(const std::string& target, timestamp now) const;
     /// The mean response time of good ends over the targets; 0 before the first one.
     milliseconds mean_response_time() const;
+    /// The response time to expect of the fastest of the targets, ignoring those without a good
+    /// end; 0 when no target has one.
+    milliseconds expected_response_time(const std::vector<std::string>& targets) const;
+    /// A call that has taken this many times the expected response time is on a slow target.
+    double slow_ratio() const { return m_options.slow_ratio; }
 
 private:
     struct health_state
@@ -92,7 +97,9 @@
         int consecutive_failures = 0;
         int consecutive_ejections = 0;
         timestamp ejected_until;
+        /// The smoothed response time, and that of the last response; 0 before the first one.
         double response_ms = 0;
+        double last_response_ms = 0;
     };
     struct peer_loads
     {
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -71,6 +71,9 @@
     bool may_crash_target() const;
     void withdraw(timestamp now);
     bool is_stalled(const attempt& it, timestamp now) const;
+    /// The response time to expect of another target than the one that has the call; 0 when none is
+    /// known.
+    milliseconds response_time_elsewhere(timestamp now) const;
     /// True when this stream keeps a slow target in use for which the streams of a group wait.
     bool is_on_slow_target(const attempt& it, timestamp now) const;
     /// Why a call should leave a target that has it.
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -23,6 +23,19 @@
 /// An idempotent call is retried elsewhere after this many times its goal, and the minimum time.
 constexpr int goals_before_retry = 2;
 constexpr milliseconds min_time_before_retry{250};
+/// It also stays for at least this many times the response time of other targets, since responses
+/// of equally slow targets arrive some time apart.
+constexpr double min_overdue_ratio = 1.25;
+
+/// How long an idempotent call stays with its target when others take `elsewhere` to respond: until
+/// the target has proved slow in comparison, but no longer than another can respond in time.
+milliseconds time_before_retry(milliseconds elsewhere, milliseconds time_allowed, double slow_ratio)
+{
+    const auto ms = static_cast<double>(elsewhere.count());
+    const auto last_useful = static_cast<double>((time_allowed - elsewhere).count());
+    return milliseconds{
+        std::llround(std::clamp(last_useful, ms * min_overdue_ratio, ms * slow_ratio))};
+}
 
 } // namespace
 
@@ -70,7 +83,23 @@
         return state.stalls.is_progressing(now) &&
                now - std::max(it.last_activity(), state.stalls.progressing_since()) > max_silence;
     const auto limit = std::max(m_route->goal * goals_before_retry, min_time_before_retry);
-    return m_route->kind == fleet::call_kind::idempotent && now - it.started() > limit;
+    const auto time_taken = now - it.started();
+    if (m_route->kind != fleet::call_kind::idempotent || time_taken <= limit)
+        return false;
+    return time_taken > time_before_retry(response_time_elsewhere(now), m_deadline - it.started(),
+                                          m_gateway.service(m_service).picker.slow_ratio());
+}
+
+milliseconds exchange::response_time_elsewhere(timestamp now) const
+{
+    const auto excluded = excluded_targets();
+    std::vector<std::string> others;
+    for (const auto* it : m_gateway.targets().usable(m_service, now))
+    {
+        if (!excluded.contains(it->id))
+            others.push_back(it->id);
+    }
+    return m_gateway.service(m_service).picker.expected_response_time(others);
 }
 
 bool exchange::is_on_slow_target(const attempt& it, timestamp now) const
--- a/source/unit_tests/policy/least_load_picker_test.cpp
+++ b/source/unit_tests/policy/least_load_picker_test.cpp
@@ -95,3 +95,28 @@
     picker.ended("c", 1, target_health::failed, milliseconds{9000}, start);
     cr_assert_eq(picker.mean_response_time().count(), 200);
 }
+
+/// Guards against a time that a single fast or slow target determines: calls compare their own
+/// target with the fastest of the others.
+Test(least_load_picker, expected_response_time_is_that_of_fastest_target_with_a_response)
+{
+    least_load_picker picker{{}};
+    cr_assert_eq(picker.expected_response_time({"a", "b"}).count(), 0);
+    picker.ended("a", 1, target_health::good, milliseconds{900}, start);
+    picker.ended("b", 1, target_health::good, milliseconds{300}, start);
+    picker.ended("c", 1, target_health::failed, milliseconds{10}, start);
+    cr_assert_eq(picker.expected_response_time({"a", "b", "c"}).count(), 300);
+    cr_assert_eq(picker.expected_response_time({"a", "c"}).count(), 900);
+    cr_assert_eq(picker.expected_response_time({"c"}).count(), 0);
+}
+
+/// Guards against a smoothed time that still shows targets as fast after all of them became slow.
+Test(least_load_picker, expected_response_time_follows_the_last_response_up)
+{
+    least_load_picker picker{{}};
+    for (const int ms : {15, 15, 900})
+        picker.ended("a", 1, target_health::good, milliseconds{ms}, start);
+    cr_assert_eq(picker.expected_response_time({"a"}).count(), 900);
+    picker.ended("a", 1, target_health::good, milliseconds{15}, start);
+    cr_assert_lt(picker.expected_response_time({"a"}).count(), 200);
+}
--- a/tests/platform/gateway_moves_test.cpp
+++ b/tests/platform/gateway_moves_test.cpp
@@ -195,3 +195,57 @@
     }
     cr_assert_eq(arrivals, all_slots);
 }
+
+/// Guards against the same when the calls end some time apart, so that each slot is free for a
+/// while before the other calls end.
+Test(gateway_moves, slow_idempotent_calls_that_end_apart_keep_their_slots)
+{
+    gateway_deployment deployment;
+    std::vector<io::timer_handle> timers;
+    std::size_t arrivals = 0;
+    const auto slow = [&](const io::http_request& request, const reply& out)
+    {
+        ++arrivals;
+        timers.push_back(deployment.loop().after(
+            milliseconds{900}, [request, out] { out.write(whole_answer(request, 200, "done")); }));
+    };
+    deployment.add_target("t-0", "plain", slow);
+    deployment.add_target("t-1", "plain", slow);
+    deployment.put_config(deployment.config(5));
+    cr_assert(deployment.wait_ready());
+    std::vector<std::shared_ptr<open_call>> calls;
+    constexpr std::size_t all_slots = 4;
+    calls.reserve(all_slots);
+    for (std::size_t i = 0; i < all_slots; ++i)
+    {
+        calls.push_back(deployment.begin(deployment.request("/read/x", common::concat("r", i))));
+        deployment.run_for(milliseconds{30});
+    }
+    for (const auto& it : calls)
+        cr_assert(deployment.wait_until([&] { return it->result.ended; }));
+    cr_assert_eq(arrivals, all_slots);
+}
+
+/// Guards against a call that stays with a target that never answers, since the others are slow.
+Test(gateway_moves, idempotent_call_leaves_silent_target_of_a_slow_service)
+{
+    gateway_deployment deployment;
+    std::vector<io::timer_handle> timers;
+    bool is_next_silent = false;
+    const auto slow = [&](const io::http_request& request, const reply& out)
+    {
+        if (std::exchange(is_next_silent, false))
+            return;
+        timers.push_back(deployment.loop().after(
+            milliseconds{500}, [request, out] { out.write(whole_answer(request, 200, "done")); }));
+    };
+    deployment.add_target("t-0", "plain", slow);
+    deployment.add_target("t-1", "plain", slow);
+    deployment.put_config(deployment.config(5));
+    cr_assert(deployment.wait_ready());
+    const auto first = deployment.begin(deployment.request("/read/x", "r0"));
+    const auto second = deployment.begin(deployment.request("/read/x", "r1"));
+    cr_assert(deployment.wait_until([&] { return first->result.ended && second->result.ended; }));
+    is_next_silent = true;
+    cr_assert_eq(deployment.call(deployment.request("/read/x", "r2")).answer.status, 200);
+}
