Make a gateway ready only once its retries are possible

A gateway that starts beside others refuses retries until one of them has reported which retries were sent in the window, but it was ready as soon as it had a configuration. A call that came in between and met a crash failed although it may be sent again. The trace of gateway_deadly_request_test, request_that_met_one_crash_is_served, which failed at line 223 (the status of the first call isn't 200; crashed() is checked two lines below): watch_started at .903 and attempt_sent at .929, attempt_failed end=cut, then retry_refused own_calls=1 allowed=0 gateways=2 heard=1 known_ms=27 and request_failed code=3001 status=504 attempts=1. The other gateway had started 1 ms earlier and had written the first start; under load the two had not exchanged a report within 26 ms. Three failed runs looked at have the same lines, with known_ms 23 to 32.

/readyz now also waits until all other gateways have reported what they know, or all retries in the window are known, but no longer than 250 ms or three broadcast intervals: another gateway may have stopped. Calls that come before are served as until now.

Ruled out: a second attempt that reached the same target or was lost (there is one attempt_sent), a quarantine or a held call (no such line), a crash that the test does not count, a retry limit below one (with the report of the other gateway 16 are allowed).

--- a/source/core/policy/windowed_retry_budget.cpp
+++ b/source/core/policy/windowed_retry_budget.cpp
@@ -137,6 +137,18 @@
     return delivery_time + 2 * load_broadcast_interval(m_peers.size());
 }
 
+bool windowed_retry_budget::has_settled(timestamp since, timestamp now) const
+{
+    const auto settle_time = std::max(min_settle_time, 3 * load_broadcast_interval(m_peers.size()));
+    const auto has_answered = [&](const std::string& peer)
+    {
+        const auto it = m_reporters.find(peer);
+        return it != m_reporters.end() && it->second.has_answered;
+    };
+    const bool have_all_answered = !m_peers.empty() && std::ranges::all_of(m_peers, has_answered);
+    return have_all_answered || known(now) >= m_limits.window || now - since >= settle_time;
+}
+
 milliseconds windowed_retry_budget::known(timestamp now) const
 {
     return std::min(m_limits.window, std::max(milliseconds{0}, now - m_known_since));
@@ -176,7 +188,11 @@
 {
     if (gateway == m_self.gateway)
         return;
-    m_reporters.insert_or_assign(gateway, reporter{from.run, now, from.is_asking});
+    const auto before = m_reporters.find(gateway);
+    const bool has_answered =
+        from.known_since || (before != m_reporters.end() && before->second.run == from.run &&
+                             before->second.has_answered);
+    m_reporters.insert_or_assign(gateway, reporter{from.run, now, from.is_asking, has_answered});
     m_runs.insert_or_assign(gateway_run{gateway, from.run}, from.own);
     m_has_update = m_has_update || from.is_asking;
     for (const auto& [run, usage] : from.others)
--- a/source/core/policy/windowed_retry_budget.hpp
+++ b/source/core/policy/windowed_retry_budget.hpp
@@ -77,6 +77,9 @@
     /// Takes one retry out of the budget; false when it is used up.
     bool take(const std::string& service, timestamp now);
     retry_budget_state state(const std::string& service, timestamp now) const;
+    /// False for a short time after the start, until the other gateways have reported which retries
+    /// they know of. Retries are refused until then. `since` is when their names became known.
+    bool has_settled(timestamp since, timestamp now) const;
 
     /// Adds the report of another gateway.
     void merge(const std::string& gateway, const retry_report& from, timestamp now);
@@ -91,6 +94,9 @@
     static constexpr milliseconds min_report_period{250};
     /// A gateway that was not heard for this long, and for three reports, may be cut off.
     static constexpr milliseconds min_reporter_lifetime{1500};
+    /// The others have reported to a gateway that has started after this time, and after three
+    /// reports of theirs; one that has not is taken to have stopped.
+    static constexpr milliseconds min_settle_time{250};
     /// From sending a report to its use, at a busy gateway.
     static constexpr milliseconds delivery_time{100};
     static constexpr std::size_t slots_per_window = 20;
@@ -108,6 +114,8 @@
         std::uint64_t run = 0;
         timestamp heard_at;
         bool is_asking = false;
+        /// It has reported what it knows of others, as it does when this gateway asks.
+        bool has_answered = false;
     };
     struct sums
     {
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -164,7 +164,7 @@
 
 bool gateway::is_ready() const
 {
-    return !m_is_shutting_down && m_follower.configuration() != nullptr;
+    return !m_is_shutting_down && m_can_retry && m_follower.configuration() != nullptr;
 }
 
 void gateway::write_metrics(timestamp now)
@@ -302,9 +302,19 @@
     }
 }
 
+/// A gateway whose retries are still refused would fail calls that it can retry shortly after.
+void gateway::update_readiness(timestamp now)
+{
+    if (m_can_retry || !m_follower.configuration())
+        return;
+    m_configured_at = m_configured_at.value_or(now);
+    m_can_retry = m_retry_budget.has_settled(*m_configured_at, now);
+}
+
 void gateway::tick()
 {
     const auto now = common::now();
+    update_readiness(now);
     m_crash_guard.tick(targets(), now, random(),
                        policy::load_broadcast_interval(m_follower.peers().size()));
     const auto limits = targets().limited();
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -23,6 +23,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -145,7 +146,10 @@
     void stop_when_idle();
     void refuse_unfinishable_calls(timestamp now);
     void end_open_calls();
+    /// True when calls are served as well as later on: the configuration is known, and retries are
+    /// possible.
     bool is_ready() const;
+    void update_readiness(timestamp now);
 
     io::event_loop& m_loop;
     io::http_client& m_client;
@@ -170,6 +174,10 @@
     std::unique_ptr<io::http_server> m_metrics_server;
     std::unique_ptr<shell::settings_follower> m_settings_follower;
     timestamp m_limits_sent_at;
+    /// When the first configuration was known.
+    std::optional<timestamp> m_configured_at;
+    /// The retry budget has settled since the start.
+    bool m_can_retry = false;
     timestamp m_shutdown_started_at;
     bool m_is_shutting_down = false;
     bool m_refuses_calls = false;
--- a/source/unit_tests/policy/windowed_retry_budget_test.cpp
+++ b/source/unit_tests/policy/windowed_retry_budget_test.cpp
@@ -223,6 +223,34 @@
     cr_assert_geq(state.left(), 0.75 * (limits.extra + limits.ratio * 133));
 }
 
+/// Guards against a gateway that is ready for calls although it would refuse all their retries, and
+/// against one that is never ready since another has stopped.
+Test(windowed_retry_budget, started_gateway_settles_when_the_others_report_or_after_a_time)
+{
+    fleet site{3};
+    cr_assert(site.gateway(0).has_settled(site.now(), site.now()), "no gateway has run before");
+    site.advance();
+    site.restart(0);
+    auto since = site.now();
+    cr_assert_not(site.gateway(0).has_settled(since, site.now()));
+    while (!site.gateway(0).has_settled(since, site.now()))
+        site.advance();
+    cr_assert_lt((site.now() - since).count(), 250);
+    site.gateway(0).record_call("s", site.now());
+    cr_assert(site.gateway(0).take("s", site.now()));
+
+    site.stop(1);
+    site.stop(2);
+    // Their last messages arrive before the next start.
+    for (int n = 0; n < 5; ++n)
+        site.advance();
+    site.restart(0);
+    since = site.now();
+    while (!site.gateway(0).has_settled(since, site.now()))
+        site.advance();
+    cr_assert_eq((site.now() - since).count(), 250);
+}
+
 /// A gateway that hears no other has its own share of extra, and no more than the margin of it
 /// in its first window.
 Test(windowed_retry_budget, gateway_that_hears_no_other_gets_its_share_of_extra)
--- a/tests/platform/gateway_retry_budget_test.cpp
+++ b/tests/platform/gateway_retry_budget_test.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <csignal>
 #include <cstdint>
 
 using namespace kumquatgap;
@@ -143,3 +144,18 @@
     cr_assert_geq(static_cast<double>(service.counts().repeats()), 0.6 * allowed);
     cr_assert_leq(service.counts().most_excess(limit), 0);
 }
+
+/// Guards against a gateway that is ready for calls before the others could report the retries that
+/// they know of, and so fails calls that it may retry a moment later.
+Test(gateway_retry_budget, started_gateway_is_ready_once_the_others_could_report)
+{
+    gateway_deployment deployment{2};
+    deployment.put_config(deployment.config(5));
+    cr_assert(deployment.wait_ready(0) && deployment.wait_ready(1));
+    deployment.gateway(1).signal(SIGSTOP);
+    deployment.restart_gateway(0);
+    const auto since = common::now();
+    cr_assert(deployment.wait_ready(0));
+    cr_assert_geq((common::now() - since).count(), 250);
+    deployment.gateway(1).signal(SIGCONT);
+}
