Add kqgctl check for files of resources

The command checks resources without writing them. Services without targets and priority rules without effect are warnings; the latter are found with the view that the daemons use. Exit status: 0 clean, 1 warnings, 2 errors. A refusal of the API ends with 69, since 1 would mean warnings here.

A check of regional restrictions is not part of this.

--- a/source/ctl/command.cpp
+++ b/source/ctl/command.cpp
@@ -3,6 +3,7 @@
 #include "common/text.hpp"
 
 #include "common/settings.hpp"
+#include "ctl/check.hpp"
 #include "ctl/explain.hpp"
 #include "io/http_client.hpp"
 
@@ -12,9 +13,7 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
-#include <iostream>
 #include <optional>
-#include <sstream>
 
 namespace kumquatgap::ctl
 {
@@ -190,21 +189,6 @@
     return exit_ok;
 }
 
-std::optional<std::string> read_file(const std::string& path)
-{
-    std::stringstream text;
-    if (path == "-")
-    {
-        text << std::cin.rdbuf();
-        return text.str();
-    }
-    const std::ifstream file{path};
-    if (!file)
-        return std::nullopt;
-    text << file.rdbuf();
-    return text.str();
-}
-
 /// Applies one resource or a list of them, in order; stops at the first failure.
 int apply(const command_context& c)
 {
@@ -263,6 +247,67 @@
     return exit_ok;
 }
 
+/// Reads all resources from the API; the result is the exit status.
+int read_live_resources(const command_context& c, std::vector<config::resource>& out)
+{
+    for (const auto kind : config::all_kinds())
+    {
+        const auto response = c.api.call("GET", path_of(std::string{config::name_of(kind)}, ""));
+        if (!is_success(response))
+        {
+            // A refusal's status would be taken for that of a check with warnings.
+            report_failure(c, response);
+            return exit_unavailable;
+        }
+        const auto body = json::parse(response->body, nullptr, false);
+        const auto items = read_resources(body.value("items", json::array()).dump());
+        if (!items)
+        {
+            c.err << "kqgctl: the API's resources can't be read\n";
+            return exit_unavailable;
+        }
+        out.insert(out.end(), items->begin(), items->end());
+    }
+    return exit_ok;
+}
+
+/// Reads the resources that a check compares with, if any; the result is the exit status.
+int read_in_force(const command_context& c, std::optional<std::vector<config::resource>>& out)
+{
+    if (c.options.against_live && !c.options.against.empty())
+    {
+        c.err << "kqgctl: --against and --against_live exclude each other\n";
+        return exit_usage;
+    }
+    if (c.options.against_live)
+        return read_live_resources(c, out.emplace());
+    if (c.options.against.empty())
+        return exit_ok;
+    const auto text = read_file(c.options.against);
+    out = text ? read_resources(*text) : std::nullopt;
+    if (out)
+        return exit_ok;
+    c.err << "kqgctl: " << c.options.against << " can't be read as resources\n";
+    return exit_bad_file;
+}
+
+/// Checks a file of resources without writing them.
+int check(const command_context& c)
+{
+    const auto text = read_file(c.argument(1));
+    if (!text)
+    {
+        c.err << "kqgctl: " << c.argument(1) << " can't be read\n";
+        return exit_bad_file;
+    }
+    std::optional<std::vector<config::resource>> in_force;
+    if (const int status = read_in_force(c, in_force); status != exit_ok)
+        return status;
+    const auto report = check_resources(*text, in_force);
+    c.out << format(report, c.options.output);
+    return exit_status_of(report);
+}
+
 /// Reads a log file's lines; false when it can't be read.
 bool read_log(const std::string& path, std::vector<sourced_line>& lines)
 {
@@ -320,6 +365,7 @@
     {"delete", 3, 3, true, erase},
     {"watch", 2, 2, true, watch},
     {"status", 1, 1, true, status},
+    {"check", 2, 2, false, check},
     {"explain", 2, max_log_files + 2, false, explain_request},
 });
 
@@ -336,17 +382,18 @@
                                          });
     if (it == s_commands.end())
     {
-        err << "kqgctl: get, apply, delete, watch, status or explain; see --help\n";
+        err << "kqgctl: get, apply, delete, watch, status, check or explain; see --help\n";
         return exit_usage;
     }
-    if (it->needs_api && common::parse_address(options.api_address).port == 0)
+    if ((it->needs_api || options.against_live) &&
+        common::parse_address(options.api_address).port == 0)
     {
         err << "kqgctl: --api=ip:port is missing or wrong\n";
         return exit_usage;
     }
     if (options.output != "table" && options.output != "json")
     {
-        err << "kqgctl: --o is table or json\n";
+        err << "kqgctl: --output is table or json\n";
         return exit_usage;
     }
     api_client api{options};
--- a/source/ctl/command.hpp
+++ b/source/ctl/command.hpp
@@ -7,7 +7,7 @@
 namespace kumquatgap::ctl
 {
 
-/// The exit statuses of kqgctl.
+/// The exit statuses of kqgctl. Those of a check are check_status.
 enum exit_status : int
 {
     /// Success.
@@ -33,6 +33,9 @@
     std::string file;
     std::string output = "table";
     std::string version;
+    /// The resources in force, for `check`: a file, or those that the API lists.
+    std::string against;
+    bool against_live = false;
     /// Log files to read.
     std::vector<std::string> logs;
 };
