--- a/source/core/fleet/configuration.hpp
+++ b/source/core/fleet/configuration.hpp
@@ -155,6 +155,9 @@
     /// True when the targets of a service are the ranks of groups, which fail together.
     bool is_group(const std::string& name) const;
     std::size_t route_count() const { return m_routes.size(); }
+    /// All routes, by host, a space and prefix.
+    const std::unordered_map<std::string, route>& routes() const { return m_routes; }
+    const std::unordered_map<std::string, team>& teams_by_key() const { return m_teams_by_key; }
 
 private:
     /// By host, a space and prefix.
