--- a/tests/failures/configuration_test.cpp
+++ b/tests/failures/configuration_test.cpp
@@ -6,6 +6,9 @@
 #include <criterion/criterion.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
 
 using namespace kumquatgap;
 using namespace kumquatgap::failures;
@@ -202,3 +205,26 @@
     };
     cr_assert(d.wait_until(is_in_force));
 }
+
+/// Guards against a check that knows other rules or other resources than the API does.
+Test(configuration, check_agrees_with_the_write_that_follows)
+{
+    deployment d{plan{}};
+    cr_assert_eq(d.put("share", "first", share(60)).status, 200);
+    const auto path = (std::filesystem::temp_directory_path() / "kqg-check-").string() +
+                      std::to_string(::getpid());
+    for (const int percent : {41, 40})
+    {
+        std::ofstream{path} << json{
+            {"kind", "share"}, {"name", "second"}, {"spec", share(percent)}};
+        process check{{std::string{BINARY_FOLDER} + "/kqgctl", "check", path, "--against_live",
+                       "--api=" + d.address("api"), "--token=reader"},
+                      path + ".out"};
+        const int status = check.wait();
+        const bool is_accepted = d.put("share", "second", share(percent)).status == 200;
+        cr_assert_eq(is_accepted, percent == 40);
+        cr_assert_eq(status, is_accepted ? 0 : 2);
+    }
+    std::filesystem::remove(path);
+    std::filesystem::remove(path + ".out");
+}
--- a/tests/platform/gateway_check_test.cpp
+++ b/tests/platform/gateway_check_test.cpp
@@ -1,6 +1,7 @@
 #include "check_command.hpp"
 #include "config/configuration_check.hpp"
 #include "ctl/check_report.hpp"
+#include "gateway_deployment.hpp"
 #include "platform_wire.hpp"
 
 #include <criterion/criterion.h>
@@ -309,6 +310,27 @@
     cr_assert_eq(json::parse(result.out)["changes"], expected, "%s", result.out.c_str());
 }
 
+/// Guards against a comparison with another configuration than the gateways follow.
+Test(gateway_check, configuration_in_the_store_is_compared_with)
+{
+    platform_tests::gateway_deployment deployment{1};
+    deployment.put_config(deployment.config(5));
+    cr_assert(deployment.wait_ready());
+    const auto file = write_file("a", deployment.config(6).dump());
+    const auto log = write_file("out", "");
+    failures::process check{{std::string{BINARY_FOLDER} + "/kqg-check", file,
+                             "--against_store=" + deployment.store().address()},
+                            log};
+    cr_assert(deployment.wait_until([&] { return check.has_ended(); }));
+    cr_assert_eq(check.wait(), 0);
+    std::ifstream lines{log};
+    std::string first;
+    std::getline(lines, first);
+    cr_assert_eq(first, "change   version: 5 -> 6", "%s", first.c_str());
+    std::filesystem::remove(file);
+    std::filesystem::remove(log);
+}
+
 /// The grace period and the retry budget are those of the gateways' settings file.
 Test(gateway_check, limits_are_read_from_the_settings)
 {
