--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -25,6 +25,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -181,7 +182,10 @@
     void stop_when_idle();
     void refuse_unfinishable_calls(timestamp now);
     void end_open_calls();
+    /// True when calls are served as well as later on: the configuration is known, and retries are
+    /// possible.
     bool is_ready() const;
+    void update_readiness(timestamp now);
 
     io::event_loop& m_loop;
     io::http_client& m_client;
@@ -216,6 +220,10 @@
     timestamp m_limits_sent_at;
     timestamp m_cold_sent_at;
     std::uint64_t m_cold_sent_version = 0;
+    /// When the first configuration was known.
+    std::optional<timestamp> m_configured_at;
+    /// The retry budget has settled since the start.
+    bool m_can_retry = false;
     timestamp m_shutdown_started_at;
     bool m_is_shutting_down = false;
     bool m_refuses_calls = false;
