--- a/source/core/shell/program.cpp
+++ b/source/core/shell/program.cpp
@@ -31,6 +31,9 @@
 
 constexpr std::string_view s_version = "0.1.0";
 constexpr common::milliseconds max_store_timeout{60'000};
+/// Upper bounds of the settings that describe the host: 1 TiB and the kernel's default fs.nr_open.
+constexpr std::int64_t max_memory_mb = 1 << 20;
+constexpr std::int64_t max_descriptors = 1 << 20;
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -79,6 +82,8 @@
     schema.add("process", "data_centre", common::text_setting{&s.data_centre});
     schema.add("process", "log_level", common::text_setting{&s.log_level});
     schema.add("process", "deployment_token", common::text_setting{&s.deployment_token});
+    schema.add("process", "memory_mb", common::number_setting{&s.memory_mb, 0, max_memory_mb});
+    schema.add("process", "max_fds", common::number_setting{&s.max_fds, 0, max_descriptors});
     schema.add("control", "listen", common::address_setting{&s.control_address, false});
     schema.add("control", "seeds", common::text_setting{&s.control_seeds, false});
     schema.add("store", "address", common::address_setting{&s.store_address});
--- a/source/core/shell/program.hpp
+++ b/source/core/shell/program.hpp
@@ -5,6 +5,7 @@
 #include "common/settings.hpp"
 #include "io/http_server.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +34,9 @@
     std::string control_address;
     /// Comma-separated addresses of processes that serve as peers while the store names no hosts.
     std::string control_seeds;
+    /// The memory and the descriptors that the host allows the process; 0 when they are not given.
+    std::int64_t memory_mb = 0;
+    std::int64_t max_fds = 0;
 };
 
 /// Declares the settings that every daemon has.
