--- a/tests/failures/deployment.cpp
+++ b/tests/failures/deployment.cpp
@@ -91,7 +91,8 @@
     m_addresses["orders"] = free_address();
     start("orders", {program("stand_in_order_service"), concat("--listen=", address("orders"))});
     start_daemon("kqg-api", "api",
-                 concat("[api]\noperator_token=", operator_token, "\nreader_token=reader\n"));
+                 concat("[api]\noperator_token=", operator_token, "\nreader_token=reader\n",
+                        p.api_settings));
     for (int i = 0; i < p.routers; ++i)
         start_daemon("kqg-router", concat("router-", i), "[router]\n" + p.router_settings);
     for (const auto& it : p.targets)
--- a/tests/failures/deployment.hpp
+++ b/tests/failures/deployment.hpp
@@ -58,6 +58,7 @@
     std::vector<target_plan> targets = {{"engine-a", "assistant"}, {"engine-b", "assistant"}};
     std::string agent_settings = {};
     std::string router_settings = {};
+    std::string api_settings = {};
     std::vector<std::string> engine_flags = {};
     /// Daemons exchange the configuration among themselves; without it each one watches the store.
     bool spreads_config = false;
