Limit the buffers and connections of a process by one memory budget

Bodies, heads and unsent responses of callers had limits for each request and none for their sum, so that 150 bodies of a megabyte, each a byte short, took 160 MB in any process. Heads of short fields took many times their bytes, and pipelined requests were served while earlier responses were unread.

io::memory_budget counts all buffered bytes and the callers' connections against limits that follow from [process] memory_mb and max_fds. io::eviction_policy, without I/O, chooses who gives way: the least progress for the bytes held, small requests last, never a call that may be running. An incomplete request is refused with the new code 2017 (503, not run). A connection reads its next request only when little of its responses is unsent. The gateway's buffered responses count towards the same budget, which replaces max_buffered_bytes.

--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -51,6 +51,7 @@
      "A part of the prompt has crashed targets."},
     {request_quarantined, "request_quarantined", 503, not_run,
      "The same request has crashed targets."},
+    {memory_full, "memory_full", 503, not_run, "The memory for requests is full."},
 
     {outcome_unknown, "outcome_unknown", 504, unknown,
      "The call may have run; its answer was lost."},
--- a/source/core/io/client_connection.cpp
+++ b/source/core/io/client_connection.cpp
@@ -106,8 +106,15 @@
     if (has_body)
         head += common::concat("Content-Length: ", request.body.size(), "\r\n");
     append_fields(head, request.headers);
-    head += request.body;
+    // One write for a small request; a large body is not copied once more.
+    if (request.body.size() <= small_holder_bytes)
+    {
+        head += request.body;
+        bufferevent_write(m_bev, head.data(), head.size());
+        return;
+    }
     bufferevent_write(m_bev, head.data(), head.size());
+    bufferevent_write(m_bev, request.body.data(), request.body.size());
 }
 
 void client_connection::abandon()
--- a/source/core/io/event_loop.cpp
+++ b/source/core/io/event_loop.cpp
@@ -62,6 +62,7 @@
         throw std::runtime_error{"libevent failed to create an event base"};
     // A write to a connection closed by the peer should fail with EPIPE, not raise a signal.
     std::signal(SIGPIPE, SIG_IGN);
+    m_memory.on_shortage([this] { defer([this] { m_memory.reclaim(common::now()); }); });
 }
 
 event_loop::~event_loop()
--- a/source/core/io/event_loop.hpp
+++ b/source/core/io/event_loop.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.hpp"
+#include "io/memory_budget.hpp"
 
 #include <functional>
 #include <memory>
@@ -40,6 +41,8 @@
     ~event_loop();
 
     event_base* base() const { return m_base; }
+    /// The limits of all buffers of the program: a program has one loop.
+    memory_budget& memory() { return m_memory; }
     /// Runs until stop() is called.
     void run();
     /// Makes run() return after the current event handler.
@@ -60,6 +63,7 @@
     void add_watch(int fd, short what, std::function<void()> fn);
 
     event_base* m_base;
+    memory_budget m_memory;
     std::vector<std::unique_ptr<watch>> m_watches;
 };
 
--- a/source/core/io/http_client.cpp
+++ b/source/core/io/http_client.cpp
@@ -26,7 +26,8 @@
 http_call::http_call(http_client& client, std::string address, const http_request& request,
                      call_events events, call_options options)
     : m_client{client}, m_address{std::move(address)}, m_events{std::move(events)},
-      m_options{options}, m_connection{client.acquire(m_address, options)}
+      m_options{options}, m_connection{client.acquire(m_address, options)},
+      m_charge{client.m_loop.memory(), charge_kind::forwarded, request.body.size()}
 {
     if (!m_connection)
     {
--- a/source/core/io/http_client.hpp
+++ b/source/core/io/http_client.hpp
@@ -100,6 +100,8 @@
     call_options m_options;
     std::shared_ptr<client_connection> m_connection;
     http_response m_response;
+    /// The request on its way to the peer.
+    memory_charge m_charge;
     timer_handle m_connect_timer;
     timer_handle m_silence_timer;
     timer_handle m_total_timer;
--- a/source/core/io/http_codec.cpp
+++ b/source/core/io/http_codec.cpp
@@ -122,6 +122,15 @@
     return it.m_handler.on_begin() ? 0 : 1;
 }
 
+void http_reader::release_head()
+{
+    m_headers = {};
+    m_url = {};
+    m_field = {};
+    m_value = {};
+    m_head_bytes = 0;
+}
+
 int http_reader::url_part(http_parser* p, const char* at, std::size_t n)
 {
     auto& it = reader_of(p);
--- a/source/core/io/http_codec.hpp
+++ b/source/core/io/http_codec.hpp
@@ -63,6 +63,13 @@
     bool is_close_delimited() const { return m_is_close_delimited; }
     /// Bytes of the current head's URL, field names and values, without separators.
     std::size_t head_bytes() const { return m_head_bytes; }
+    /// The memory that the current head takes. A short field takes many times its bytes.
+    std::size_t memory_bytes() const
+    {
+        return m_url.capacity() + m_head_bytes + m_headers.capacity_bytes();
+    }
+    /// Frees the memory of a head that is no longer needed.
+    void release_head();
     /// To be set before the head of a response to a HEAD request is read.
     void expect_no_body(bool on) { m_expect_no_body = on; }
 
--- a/source/core/io/http_message.hpp
+++ b/source/core/io/http_message.hpp
@@ -26,6 +26,9 @@
     /// there is none.
     std::string_view find(std::string_view name) const;
 
+    /// The memory of the list itself, without the text of its fields.
+    std::size_t capacity_bytes() const { return m_fields.capacity() * sizeof(m_fields[0]); }
+
     auto begin() const { return m_fields.begin(); }
     auto end() const { return m_fields.end(); }
 
--- a/source/core/io/http_server.cpp
+++ b/source/core/io/http_server.cpp
@@ -9,6 +9,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <unistd.h>
 
 #include <algorithm>
 
@@ -173,6 +174,11 @@
                            int /*size*/, void* arg)
 {
     auto& server = *static_cast<http_server*>(arg);
+    if (!server.m_loop.memory().admit_connection(server.m_is_internal, common::now()))
+    {
+        ::close(fd);
+        return;
+    }
     auto it = std::make_shared<server_connection>(server, fd);
     server.m_connections.emplace(it.get(), std::move(it));
 }
--- a/source/core/io/http_server.hpp
+++ b/source/core/io/http_server.hpp
@@ -79,6 +79,8 @@
     bool headers_too_large = false;
     /// The request stopped arriving before its end.
     bool timed_out = false;
+    /// Counts the request towards the memory budget as long as it is held.
+    std::shared_ptr<memory_charge> charge = {};
 };
 
 /// Size limits of a request and time limits of a connection.
@@ -105,6 +107,14 @@
 
     /// Sets the response to malformed requests, after which the connection is closed.
     void set_malformed_response(const http_response& response) { m_malformed_response = response; }
+    /// Sets the response to requests that are refused because memory is short, after which the
+    /// connection is closed.
+    void set_memory_full_response(const http_response& response)
+    {
+        m_memory_full_response = response;
+    }
+    /// Lets connections use the reserve for the system's own callers (probes, metrics).
+    void set_internal() { m_is_internal = true; }
     /// Changes the limits, also for open connections.
     void set_limits(const http_limits& limits) { m_limits = limits; }
     /// From now on closes each connection after its next response, which says so to the caller.
@@ -129,10 +139,12 @@
     http_limits m_limits;
     handler m_handler;
     http_response m_malformed_response{400, {}, {}};
+    http_response m_memory_full_response{503, {}, {}};
     evconnlistener* m_listener = nullptr;
     std::map<const server_connection*, std::shared_ptr<server_connection>> m_connections;
     std::size_t m_open_requests = 0;
     bool m_close_after_replies = false;
+    bool m_is_internal = false;
 };
 
 } // namespace kumquatgap::io
--- a/source/core/io/server_connection.hpp
+++ b/source/core/io/server_connection.hpp
@@ -13,6 +13,7 @@
 /// A caller's connection. It reads one request at a time and starts on the next one after the
 /// response has been written.
 class server_connection : public message_handler,
+                          public buffer_owner,
                           public std::enable_shared_from_this<server_connection>
 {
 public:
@@ -40,6 +41,9 @@
     bool on_body(std::string_view bytes) override;
     bool on_complete() override;
 
+    void refresh_account() override;
+    void release(shortage why) override;
+
 private:
     enum class phase : std::uint8_t
     {
@@ -60,6 +64,12 @@
     void read();
     void dispatch(bool headers_too_large, bool body_too_large);
     void reject(const http_response& response);
+    void reject_for_memory();
+    void read_input();
+    bool may_read_next() const;
+    void reserve_body(std::size_t more);
+    void release_request();
+    connection_state state() const;
     void time_out();
     void linger();
     void close_when_stalled(std::size_t unsent);
@@ -70,6 +80,9 @@
     http_reader m_reader;
     phase m_phase = phase::idle;
     std::string m_body;
+    memory_account m_account;
+    std::uint64_t m_bytes_read = 0;
+    std::uint64_t m_bytes_written = 0;
     std::weak_ptr<responder> m_responder;
     timer_handle m_timer;
     bool m_is_head_request = false;
--- a/source/core/shell/program.cpp
+++ b/source/core/shell/program.cpp
@@ -12,6 +12,8 @@
 #include <absl/strings/match.h>
 #include <nlohmann/json.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -34,6 +36,9 @@
 /// Upper bounds of the settings that describe the host: 1 TiB and the kernel's default fs.nr_open.
 constexpr std::int64_t max_memory_mb = 1 << 20;
 constexpr std::int64_t max_descriptors = 1 << 20;
+/// Allocations from this size on are separate mappings. Without a fixed value the allocator raises
+/// its threshold to the largest freed buffer, and later bodies fragment the heap.
+constexpr int min_separate_allocation = 128 << 10;
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -132,6 +137,17 @@
     return absl::GetFlag(FLAGS_config);
 }
 
+void set_host_limits(io::event_loop& loop, const common_settings& settings)
+{
+    ::mallopt(M_MMAP_THRESHOLD, min_separate_allocation);
+    loop.memory().set_limits(io::limits_of_host(settings.memory_mb, settings.max_fds));
+}
+
+failure memory_full_failure()
+{
+    return {common::result_code::memory_full, "", io::retry_after_memory_full};
+}
+
 io::http_response to_response(const failure& why)
 {
     io::http_response out{common::info(why.code).http_status,
--- a/source/core/shell/program.hpp
+++ b/source/core/shell/program.hpp
@@ -70,6 +70,13 @@
     return status ? *status : Daemon{settings}.run();
 }
 
+/// Derives the limits of the loop's memory budget from the settings, and makes the allocator return
+/// large buffers to the system as soon as they are freed.
+void set_host_limits(io::event_loop& loop, const common_settings& settings);
+
+/// The response to a request that was refused because memory is short.
+common::failure memory_full_failure();
+
 /// A failure as a complete HTTP response, in the OpenAI error format.
 io::http_response to_response(const common::failure& why);
 /// A failure as a server-sent event, for a response whose stream has already started.
--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -28,7 +28,8 @@
 attempt::attempt(gateway& owner, attempt_listener& listener, options how,
                  const io::http_request& request)
     : m_gateway{owner}, m_listener{listener}, m_options{std::move(how)}, m_started{common::now()},
-      m_last_activity{m_started}, m_head_at{m_started}, m_events{max_event_bytes}
+      m_last_activity{m_started}, m_head_at{m_started}, m_events{max_event_bytes},
+      m_charge{owner.loop().memory(), io::charge_kind::response}
 {
     m_gateway.service(m_options.target.service).picker.sent(m_options.target.id, 1);
     io::call_events events{
@@ -103,9 +104,7 @@
 {
     m_last_activity = common::now();
     m_body += bytes;
-    m_gateway.buffered_bytes() += bytes.size();
-    if (m_body.size() > max_response_body_bytes ||
-        m_gateway.buffered_bytes() > gateway::max_buffered_bytes)
+    if (m_body.size() > max_response_body_bytes || !m_charge.try_set(m_body.capacity()))
         abort_oversized();
 }
 
@@ -126,10 +125,10 @@
         abort_oversized();
 }
 
-/// Returns the buffered body and takes it off the gateway's buffered bytes.
+/// Returns the buffered body, which is no longer counted.
 std::string attempt::release_body()
 {
-    m_gateway.buffered_bytes() -= m_body.size();
+    m_charge.set(0);
     return std::exchange(m_body, {});
 }
 
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -107,6 +107,8 @@
     bool m_is_in_flight = true;
     std::string m_body;
     io::sse_splitter m_events;
+    /// Counts m_body towards the memory budget.
+    io::memory_charge m_charge;
     io::call_handle m_call;
     /// Expires with the attempt, since the listener may destroy the attempt in a callback.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -81,14 +81,23 @@
 
 gateway::~gateway() = default;
 
-int gateway::run()
+void gateway::prepare_servers()
 {
+    shell::set_host_limits(m_loop, m_settings.common);
     m_server.set_malformed_response(
         m_adapter.error_response({common::result_code::bad_request, ""}));
+    m_server.set_memory_full_response(m_adapter.error_response(shell::memory_full_failure()));
     const auto handler =
         [this](const io::received_request& received, const io::responder_ptr& responder)
     { handle_admin_request(received, *responder); };
     m_metrics_server = std::make_unique<io::http_server>(m_loop, io::http_limits{}, handler);
+    m_metrics_server->set_internal();
+    m_admin_server.set_internal();
+}
+
+int gateway::run()
+{
+    prepare_servers();
     const bool has_addresses = m_server.listen(m_settings.listen) &&
                                m_admin_server.listen(m_settings.ready_listen) &&
                                (m_settings.metrics_listen.empty() ||
@@ -173,6 +182,7 @@
     m_metrics.set("kqg_target_connections",
                   static_cast<std::int64_t>(m_client.connections_opened()));
     m_store.counts().write_metrics(m_metrics);
+    m_loop.memory().write_metrics(m_metrics);
     m_follower.write_metrics(m_metrics, now);
     m_load_broadcast.write_metrics(m_metrics, now);
     m_crash_guard.write_metrics(m_metrics);
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -107,11 +107,6 @@
     service_state& service(const std::string& name) { return m_services[name]; }
     /// True when new calls are refused, so that open calls can finish before the process exits.
     bool refuses_calls() const { return m_refuses_calls; }
-    /// The limit of the memory for all responses that are being buffered: a fifth of the memory of
-    /// the smallest entry host (240 MB).
-    static constexpr std::size_t max_buffered_bytes = std::size_t{48} << 20;
-    /// Bytes of the responses that are being buffered.
-    std::size_t& buffered_bytes() { return m_buffered_bytes; }
     /// A random number, at least 0 and less than 1.
     double random() { return std::uniform_real_distribution<double>{0, 1}(m_random); }
     /// The calls of a service that this gateway usually starts per second when all slots are taken,
@@ -127,6 +122,7 @@
     void handle_peer_state(const std::string& peer, const peer_state& it);
     void refuse_unreachable_deadlines(const std::string& name, service_state& state, timestamp now);
     void write_metrics(timestamp now);
+    void prepare_servers();
     void handle_admin_request(const io::received_request& received, io::responder& responder);
     std::string pick_target(const std::string& name, service_state& state, const exchange& it,
                             timestamp now);
@@ -164,7 +160,6 @@
     std::map<std::string, service_state> m_services;
     std::map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
     std::uint64_t m_next_exchange = 1;
-    std::size_t m_buffered_bytes = 0;
     io::http_server m_server;
     io::http_server m_admin_server;
     std::unique_ptr<io::http_server> m_metrics_server;
