Apply the memory budget to router, agent, API and rank agent

Each sets its limits from [process] and answers 2017 to incomplete requests that have to give way. An agent counts a call until its attempt ends. The router keeps one copy of a body less, and counts the parsed JSON of a completion request before it parses: lists of empty lists take 20 times their text, so that 30 such bodies took 578 MB.

--- a/source/agent/agent.cpp
+++ b/source/agent/agent.cpp
@@ -74,6 +74,8 @@
 
 int agent::run()
 {
+    shell::set_host_limits(m_loop, m_settings.common);
+    m_server.set_memory_full_response(shell::to_response(shell::memory_full_failure()));
     if (!m_server.listen(m_settings.listen))
     {
         common::log(common::log_level::error, "no_address", {{"address", m_settings.listen}});
@@ -127,6 +129,7 @@
     m_metrics.set("kqg_calls_waiting", current_load.waiting);
     m_follower.write_metrics(m_metrics);
     m_store.counts().write_metrics(m_metrics);
+    m_loop.memory().write_metrics(m_metrics);
     if (shell::answer_admin_request(received.request, *responder, is_ready, m_metrics))
         return;
     if (!shell::has_token(received.request, m_settings.common.deployment_token))
@@ -153,7 +156,7 @@
         return responder->end();
     }
     const auto id = m_next_id++;
-    auto it = std::make_shared<exchange>(*this, id, std::move(*call), responder);
+    auto it = std::make_shared<exchange>(*this, id, std::move(*call), responder, received.charge);
     m_exchanges.emplace(id, it);
     it->start();
 }
--- a/source/agent/exchange.cpp
+++ b/source/agent/exchange.cpp
@@ -38,8 +38,9 @@
 } // namespace
 
 exchange::exchange(agent& owner, std::uint64_t id, protocol::agent_call call,
-                   io::responder_ptr router)
-    : m_agent{owner}, m_id{id}, m_request{std::move(call)}, m_router{std::move(router)},
+                   io::responder_ptr router, std::shared_ptr<io::memory_charge> charge)
+    : m_agent{owner}, m_id{id}, m_request{std::move(call)}, m_charge{std::move(charge)},
+      m_router{std::move(router)},
       m_resources{owner.resources()}, m_service{m_resources->find_service(m_request.service)},
       m_hop{common::start_span(m_request.traceparent, common::now())},
       m_deadline{common::now() + m_request.time_left}
--- a/source/agent/exchange.hpp
+++ b/source/agent/exchange.hpp
@@ -24,7 +24,8 @@
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
-    exchange(agent& owner, std::uint64_t id, protocol::agent_call call, io::responder_ptr router);
+    exchange(agent& owner, std::uint64_t id, protocol::agent_call call, io::responder_ptr router,
+             std::shared_ptr<io::memory_charge> charge);
 
     /// Enters the queue, or refuses the call.
     void start();
@@ -57,6 +58,8 @@
     agent& m_agent;
     std::uint64_t m_id;
     protocol::agent_call m_request;
+    /// Counts m_request towards the memory budget.
+    std::shared_ptr<io::memory_charge> m_charge;
     io::responder_ptr m_router;
     std::shared_ptr<const config::view> m_resources;
     const config::service* m_service;
--- a/source/api/api.cpp
+++ b/source/api/api.cpp
@@ -103,7 +103,9 @@
 
 int api::run()
 {
+    shell::set_host_limits(m_loop, m_settings.common);
     m_server.set_malformed_response(shell::to_response({result_code::bad_request, ""}));
+    m_server.set_memory_full_response(shell::to_response(shell::memory_full_failure()));
     if (!m_server.listen(m_settings.listen))
     {
         common::log(common::log_level::error, "no_address", {{"address", m_settings.listen}});
@@ -134,6 +136,7 @@
 void api::handle(const io::received_request& received, const io::responder_ptr& responder)
 {
     const auto& request = received.request;
+    m_loop.memory().write_metrics(m_metrics);
     if (shell::answer_admin_request(request, *responder, !m_shutting_down, m_metrics))
         return;
     if (const auto refused = refusal(received))
--- a/source/core/filters/request_filters.cpp
+++ b/source/core/filters/request_filters.cpp
@@ -24,6 +24,9 @@
 /// An engine reads this many bytes of prompt in the time of one completion token.
 constexpr std::int64_t prompt_bytes_per_token_time = 64;
 constexpr common::milliseconds plain_call_time{50};
+/// Memory of a parsed JSON value beside its text: an empty list in a list takes 16 bytes there and
+/// an allocation of 32, and lists grow by doubling.
+constexpr std::size_t parsed_value_bytes = 48;
 
 constexpr auto s_safe_methods = std::to_array<std::string_view>({"GET", "HEAD"});
 constexpr auto s_plain_methods =
@@ -44,11 +47,25 @@
     return default_max_tokens;
 }
 
+/// Counts the parsed body towards the memory budget; false when it would exceed it.
+bool claim_parse_memory(const io::received_request& it)
+{
+    if (!it.charge)
+        return true;
+    const auto& text = it.request.body;
+    const auto values = std::ranges::count_if(
+        text, [](char c) { return c == ',' || c == '[' || c == '{' || c == ':'; });
+    return it.charge->try_set(it.charge->bytes() + text.size() +
+                              static_cast<std::size_t>(values) * parsed_value_bytes);
+}
+
 refusal classify_model_call(request_context& c, const filter_environment& env)
 {
     const auto& request = c.received.request;
     if (request.method != "POST")
         return failure{result_code::method_not_allowed, "POST only"};
+    if (!claim_parse_memory(c.received))
+        return failure{result_code::memory_full, "", io::retry_after_memory_full};
     c.body = json::parse(request.body, nullptr, false);
     if (!c.body.is_object())
         return failure{result_code::bad_json, ""};
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -85,6 +85,8 @@
 
 int rank_agent::run()
 {
+    shell::set_host_limits(m_loop, m_settings.common);
+    m_metrics_server.set_memory_full_response(shell::to_response(shell::memory_full_failure()));
     const bool has_addresses =
         m_messenger.listen() &&
         (m_settings.metrics_listen.empty() || m_metrics_server.listen(m_settings.metrics_listen));
@@ -456,6 +458,7 @@
 void rank_agent::write_metrics(timestamp now)
 {
     m_store.counts().write_metrics(m_metrics);
+    m_loop.memory().write_metrics(m_metrics);
     m_metrics.set("kqg_leads", m_controller ? 1 : 0);
     m_metrics.set("kqg_control_bytes", static_cast<std::int64_t>(m_messenger.bytes()));
     m_metrics.set("kqg_switch_phase", static_cast<std::int64_t>(m_driver.current().phase));
--- a/source/router/exchange.cpp
+++ b/source/router/exchange.cpp
@@ -63,7 +63,7 @@
                            policy::attempt_result::answered);
         });
     m_caller->on_caller_gone([this] { finish(result_code::caller_gone); });
-    m_request_body = m_context.received.request.body;
+    m_request_body = std::move(m_context.received.request.body);
     start_attempt();
 }
 
--- a/source/router/router.cpp
+++ b/source/router/router.cpp
@@ -72,7 +72,9 @@
 
 int router::run()
 {
+    shell::set_host_limits(m_loop, m_settings.common);
     m_server.set_malformed_response(shell::to_response({common::result_code::bad_request, ""}));
+    m_server.set_memory_full_response(shell::to_response(shell::memory_full_failure()));
     if (!m_server.listen(m_settings.listen))
     {
         common::log(common::log_level::error, "no_address", {{"address", m_settings.listen}});
@@ -104,6 +106,7 @@
     m_metrics.set("kqg_open_calls", static_cast<std::int64_t>(m_exchanges.size()));
     m_follower.write_metrics(m_metrics);
     m_store.counts().write_metrics(m_metrics);
+    m_loop.memory().write_metrics(m_metrics);
     if (shell::answer_admin_request(received.request, *responder, is_ready, m_metrics))
         return;
     auto it = std::make_shared<exchange>(*this, std::move(received), std::move(responder));
