Free the buffers of refused requests and read pipelined requests in turn

std::string's assignment keeps the capacity, so a refused body stayed allocated and counted, and its connection was closed before the refusal was sent.

Idle connections are no longer closed for memory, as they free too little. A body's last allocation is exact, so that a body of 600 kB doesn't count as a megabyte. The gateway's tick reports suppressed log lines of the budget. New cases of gateway_hostile_clients_test send bodies and open connections at the probe address.

--- a/source/core/io/eviction_policy.cpp
+++ b/source/core/io/eviction_policy.cpp
@@ -56,8 +56,9 @@
         if (state != connection_state::serving && state != connection_state::sending)
             out.push_back(i);
     }
-    const auto order = [&](std::size_t i)
-    { return std::tuple{closing_order(holders[i].state), -holders[i].stalled.count()}; };
+    const auto order = [&](std::size_t i) {
+        return std::tuple{closing_order(holders[i].state), -holders[i].stalled.count()};
+    };
     count = std::min(count, out.size());
     std::ranges::partial_sort(out, out.begin() + static_cast<std::ptrdiff_t>(count), {}, order);
     out.resize(count);
--- a/source/core/io/http_codec.cpp
+++ b/source/core/io/http_codec.cpp
@@ -125,9 +125,9 @@
 void http_reader::release_head()
 {
     m_headers = {};
-    m_url = {};
-    m_field = {};
-    m_value = {};
+    // An assignment would keep the capacity.
+    for (auto* it : {&m_url, &m_field, &m_value})
+        std::string{}.swap(*it);
     m_head_bytes = 0;
 }
 
--- a/source/core/io/memory_budget.cpp
+++ b/source/core/io/memory_budget.cpp
@@ -33,6 +33,8 @@
 /// A caller makes progress when it has sent or read this many bytes. Single bytes don't count, so
 /// that a slow sender can't keep its place with them.
 constexpr std::uint64_t progress_step_bytes = 4096;
+/// Holders up to this size are not closed for memory: an idle connection would free too little.
+constexpr std::size_t min_closed_bytes = 4096;
 constexpr double log_lines_per_second = 2;
 
 std::size_t descriptor_limit()
@@ -86,8 +88,8 @@
 }
 
 memory_account::memory_account(memory_budget& budget, buffer_owner& owner)
-    : m_budget{budget}, m_owner{owner}, m_index{budget.m_accounts.size()},
-      m_progressed_at{common::now()}
+    : m_budget{budget}, m_owner{owner}, m_index{budget.m_accounts.size()}, m_progressed_at{
+                                                                               common::now()}
 {
     budget.m_accounts.push_back(this);
     ++budget.m_connections;
@@ -196,14 +198,14 @@
 {
     std::vector<buffer_holder> out;
     out.reserve(m_accounts.size());
-    std::ranges::transform(
-        m_accounts, std::back_inserter(out),
-        [now](const memory_account* it)
-        {
-            const auto stalled =
-                std::chrono::duration_cast<common::milliseconds>(now - it->m_progressed_at);
-            return buffer_holder{it->m_bytes, it->m_state, stalled};
-        });
+    std::ranges::transform(m_accounts, std::back_inserter(out),
+                           [now](const memory_account* it)
+                           {
+                               const auto stalled =
+                                   std::chrono::duration_cast<common::milliseconds>(
+                                       now - it->m_progressed_at);
+                               return buffer_holder{it->m_bytes, it->m_state, stalled};
+                           });
     return out;
 }
 
@@ -253,9 +255,9 @@
     if (is_short())
         refresh_large_accounts();
     release_memory(excess(m_large, m_limits.large_bytes()), small_holder_bytes, now);
-    release_memory(std::max(excess(m_callers, m_limits.caller_bytes()),
-                            excess(m_total, m_limits.bytes)),
-                   0, now);
+    release_memory(
+        std::max(excess(m_callers, m_limits.caller_bytes()), excess(m_total, m_limits.bytes)),
+        min_closed_bytes, now);
     m_log.report(now);
     m_is_notified = false;
 }
--- a/source/core/io/server_connection.cpp
+++ b/source/core/io/server_connection.cpp
@@ -107,6 +107,9 @@
             return;
         const auto* data =
             reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
+        // Paused at the end of the last request, so that its response decides when to read on.
+        if (m_phase == phase::idle)
+            m_reader.pause(false);
         const auto used = m_reader.feed({data, n});
         evbuffer_drain(input, used);
         m_bytes_read += used;
@@ -120,7 +123,7 @@
 bool server_connection::on_begin()
 {
     m_phase = phase::reading;
-    m_body = {};
+    m_body.clear();
     m_timer = m_server.m_loop.after(m_server.m_limits.header_timeout, [this] { time_out(); });
     return true;
 }
@@ -163,8 +166,9 @@
     return true;
 }
 
-/// Allocates memory for more bytes of the body: twice the last size, but never more than the body
-/// can have. What is only announced takes no memory.
+/// Allocates memory for more bytes of the body: twice the last size, or all that the body can have
+/// once that is at most four times the last size. The string rounds a smaller step up to twice its
+/// size. What is only announced takes no memory.
 void server_connection::reserve_body(std::size_t more)
 {
     const auto needed = m_body.size() + more;
@@ -173,8 +177,8 @@
     const auto length = m_reader.content_length();
     const auto most = length == http_reader::no_length ? m_server.m_limits.body_bytes
                                                        : static_cast<std::size_t>(length);
-    const auto wanted = std::max(2 * m_body.capacity(), min_body_allocation);
-    m_body.reserve(std::clamp(wanted, needed, std::max(needed, most)));
+    const auto doubled = std::max(2 * m_body.capacity(), min_body_allocation);
+    m_body.reserve(std::max(needed, most <= 2 * doubled ? most : doubled));
 }
 
 bool server_connection::on_complete()
@@ -228,7 +232,6 @@
         return linger();
     m_phase = phase::idle;
     refresh_account();
-    m_reader.pause(false);
     m_timer = m_server.m_loop.after(m_server.m_limits.idle_timeout, [this] { time_out(); });
     read_input();
 }
@@ -270,7 +273,8 @@
 /// Frees the memory of the request, which has been passed on or is refused.
 void server_connection::release_request()
 {
-    m_body = {};
+    // An assignment would keep the capacity.
+    std::string{}.swap(m_body);
     m_reader.release_head();
 }
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -339,6 +339,7 @@
         it->check_timeouts(now);
     m_success_log.report(now);
     m_failure_log.report(now);
+    m_loop.memory().reclaim(now);
     if (m_load_broadcast.is_due(m_follower.peers().size(), now))
         broadcast_state(now);
 }
--- a/tests/platform/gateway_deployment.hpp
+++ b/tests/platform/gateway_deployment.hpp
@@ -87,6 +87,8 @@
     bool wait_until(const std::function<bool()>& condition);
     void run_for(common::milliseconds time);
     const std::string& address(std::size_t i = 0) const { return m_addresses.at(i); }
+    /// The address of a gateway's probes.
+    const std::string& ready_address(std::size_t i = 0) const { return m_ready_addresses.at(i); }
     /// The text of a gateway's log so far.
     std::string log(std::size_t i = 0) const;
 
--- a/tests/platform/gateway_hostile_clients_test.cpp
+++ b/tests/platform/gateway_hostile_clients_test.cpp
@@ -77,7 +77,13 @@
     /// memory and descriptors, and an ordinary call. The connections stay open meanwhile.
     void survives(std::size_t count, const client_script& script)
     {
-        hostile_clients crowd{m_deployment.address(), count, script};
+        survives_at(m_deployment.address(), count, script);
+    }
+
+    /// The same with a crowd at another address of the gateway.
+    void survives_at(const std::string& address, std::size_t count, const client_script& script)
+    {
+        hostile_clients crowd{address, count, script};
         std::size_t descriptors = 0;
         m_deployment.wait_until(
             [&]
@@ -200,6 +206,19 @@
     host.survives(900, {.bytes = failures::shared_text("GET /read/x HTTP/1.1\r\nHost: ")});
 }
 
+Test(gateway_hostile_clients, bodies_for_the_probes_that_stop_short)
+{
+    small_host host{never_answer};
+    host.survives_at(host.deployment().ready_address(), body_clients, {.bytes = to_text(post())});
+}
+
+Test(gateway_hostile_clients, more_connections_for_the_probes_than_descriptors)
+{
+    small_host host{never_answer};
+    host.survives_at(host.deployment().ready_address(), 900,
+                     {.bytes = failures::shared_text("GET /readyz HTTP/1.1\r\nHost: ")});
+}
+
 Test(gateway_hostile_clients, pipelined_requests_whose_responses_are_not_read)
 {
     small_host host{answer_large};
