--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -55,6 +55,7 @@
      "The data centres of all targets that may serve the call are being evacuated."},
     {no_permitted_target, "no_permitted_target", 503, not_run,
      "No target of the service is in a region that may serve the call."},
+    {memory_full, "memory_full", 503, not_run, "The memory for requests is full."},
 
     {outcome_unknown, "outcome_unknown", 504, unknown,
      "The call may have run; its answer was lost."},
--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -55,6 +55,7 @@
     request_quarantined = 2014,
     data_centre_evacuated = 2015,
     no_permitted_target = 2016,
+    memory_full = 2017,
 
     outcome_unknown = 3001,
     in_progress = 3002,
