--- a/source/core/fleet/target_notices.hpp
+++ b/source/core/fleet/target_notices.hpp
@@ -89,6 +89,7 @@
     /// An entry states when the target started; notices of an earlier start end.
     void entry_updated(const std::string& id, std::int64_t started_at);
 
+    bool empty() const { return m_notices.empty(); }
     bool is_draining(const std::string& id, timestamp now) const;
     /// When the target accepts calls again; none when it does now.
     std::optional<timestamp> busy_until(const std::string& id, timestamp now) const;
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -92,7 +92,7 @@
     }
     std::optional<double> rate_limit_of(const std::string& id) const
     {
-        return m_notices.rate_limit_of(id);
+        return m_notices.empty() ? std::nullopt : m_notices.rate_limit_of(id);
     }
     std::map<std::string, double> limited() const { return m_notices.limited(); }
     rate_limits limits_to_broadcast(timestamp now) const
@@ -116,12 +116,13 @@
     /// True when the target's entry or a notice says that it drains.
     bool is_draining(const target& it, timestamp now) const
     {
-        return it.is_draining || m_notices.is_draining(it.id, now);
+        // Each call asks for all targets, and there are seldom any notices.
+        return it.is_draining || (!m_notices.empty() && m_notices.is_draining(it.id, now));
     }
     /// When a registered target accepts calls again that has asked for none; none when it has not.
     std::optional<timestamp> busy_until(const target& it, timestamp now) const
     {
-        return m_notices.busy_until(it.id, now);
+        return m_notices.empty() ? std::nullopt : m_notices.busy_until(it.id, now);
     }
     /// True while this start of a target has an entry, or may have lost it only because the store
     /// was unreachable, and no newer entry claims its address.
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -34,6 +34,8 @@
     const fleet::permitted_regions& regions() const { return m_regions; }
     /// True while the call waits for a slot and no target has it.
     bool is_waiting() const { return m_is_queued && !m_attempt && !m_ended; }
+    /// A waiting call that starts after this is not served.
+    timestamp start_deadline() const { return queue_entry().deadline; }
     /// Ends a waiting call that no target may serve.
     void refuse_waiting(common::result_code why);
     /// Takes the call back from a target in an evacuated data centre if it is not connected to it
--- a/source/gateway/placement.cpp
+++ b/source/gateway/placement.cpp
@@ -103,30 +103,40 @@
     return state.picker.pick(candidates, it.excluded_targets(), now, random());
 }
 
-/// Refuses the waiting calls that the operator's evacuations and restrictions keep from all
-/// targets.
+/// Refuses the waiting calls that no target may serve: the operator's evacuations and restrictions
+/// keep them from all targets, or from all that accept calls again in time.
 void gateway::refuse_unplaceable_calls(timestamp now)
 {
     struct decision
     {
         const exchange* first;
         std::optional<common::result_code> refusal;
+        /// Set while all targets that may serve the calls have asked for none.
+        std::optional<timestamp> available_from;
     };
     // Most calls share their service and regions, so few decisions are made for many calls.
     std::vector<decision> made;
+    const auto decide = [&](const exchange& it) -> const decision&
+    {
+        const auto known = std::ranges::find_if(
+            made, [&](const decision& d)
+            { return d.first->service() == it.service() && d.first->regions() == it.regions(); });
+        if (known != made.end())
+            return *known;
+        return made.emplace_back(
+            decision{&it, m_eligibility.refusal(it.service(), it.regions(), now),
+                     m_eligibility.available_from(it.service(), it.regions(), now)});
+    };
     std::vector<std::pair<std::shared_ptr<exchange>, common::result_code>> refused;
     for (const auto& [id, it] : m_exchanges)
     {
         if (!it->is_waiting() || (evacuated().empty() && !it->regions().is_restricted()))
             continue;
-        auto known = std::ranges::find_if(
-            made, [&](const decision& d)
-            { return d.first->service() == it->service() && d.first->regions() == it->regions(); });
-        if (known == made.end())
-            known = made.insert(
-                made.end(), {it.get(), m_eligibility.refusal(it->service(), it->regions(), now)});
-        if (known->refusal)
-            refused.emplace_back(it, *known->refusal);
+        const auto& known = decide(*it);
+        if (known.refusal)
+            refused.emplace_back(it, *known.refusal);
+        else if (known.available_from && it->start_deadline() < *known.available_from)
+            refused.emplace_back(it, common::result_code::deadline_unreachable);
     }
     for (const auto& [it, why] : refused)
         it->refuse_waiting(why);
--- a/tests/platform/gateway_evacuation_failures_test.cpp
+++ b/tests/platform/gateway_evacuation_failures_test.cpp
@@ -1,9 +1,15 @@
 #include "gateway_deployment.hpp"
 
+#include "common/settings.hpp"
 #include "common/text.hpp"
 
 #include <criterion/criterion.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <csignal>
 #include <optional>
 #include <utility>
@@ -98,6 +104,44 @@
     std::vector<std::pair<io::http_request, scripted_target::reply>> requests;
 };
 
+/// A socket that listens and takes no connection, since its backlog is full: connections to it
+/// wait.
+class full_listener
+{
+public:
+    full_listener() : m_address{failures::free_address()}
+    {
+        const auto at = common::parse_address(m_address);
+        m_socket_address.sin_family = AF_INET;
+        m_socket_address.sin_port = htons(at.port);
+        inet_pton(AF_INET, at.ip.c_str(), &m_socket_address.sin_addr);
+        const auto* name = reinterpret_cast<const sockaddr*>(&m_socket_address);
+        m_sockets.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+        cr_assert_eq(::bind(m_sockets.front(), name, sizeof m_socket_address), 0);
+        cr_assert_eq(::listen(m_sockets.front(), 0), 0);
+        // Linux takes one connection more than the backlog; the others only wait.
+        for (int i = 0; i < 4; ++i)
+        {
+            m_sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            ::connect(m_sockets.back(), name, sizeof m_socket_address);
+        }
+    }
+    full_listener(const full_listener&) = delete;
+    full_listener& operator=(const full_listener&) = delete;
+    ~full_listener()
+    {
+        for (const int it : m_sockets)
+            ::close(it);
+    }
+
+    const std::string& address() const { return m_address; }
+
+private:
+    std::string m_address;
+    sockaddr_in m_socket_address{};
+    std::vector<int> m_sockets;
+};
+
 } // namespace
 
 /// A gateway that the store does not answer went on sending to the data centre.
@@ -250,6 +294,55 @@
     cr_assert_eq(e3.requests().size(), 1);
 }
 
+/// A call waited for the connection to an evacuated target, and would have been sent once it came.
+Test(gateway_evacuation_failures, call_without_connection_is_taken_back)
+{
+    two_data_centres it;
+    const full_listener full;
+    it.deployment.put_entry("t-a", "plain", full.address());
+    cr_assert(log_shows(it.deployment,
+                        "target_learnt target=t-a service=plain address=" + full.address()));
+    const auto is_taken_back = [&]
+    { return it.deployment.log().find("unconnected_call_taken_back") != std::string::npos; };
+    // A connection is given up after 0.7 s, which a busy machine may take for the evacuation.
+    for (int i = 0; i < 5 && !is_taken_back(); ++i)
+    {
+        const auto call = it.deployment.begin(next_request(it.deployment));
+        it.deployment.run_for(milliseconds{50});
+        it.evacuate();
+        cr_assert(it.deployment.wait_until([&] { return call->result.ended; }));
+        cr_assert_eq(call->result.answer.body, "t-b");
+        it.deployment.store().remove(std::string{key_a});
+        it.deployment.run_for(milliseconds{500});
+    }
+    cr_assert(is_taken_back());
+}
+
+/// A health check was sent to find out whether a target in an evacuated data centre had crashed.
+Test(gateway_evacuation_failures, evacuated_target_gets_no_health_check)
+{
+    two_data_centres it;
+    std::optional<scripted_target::reply> first;
+    auto& engine = it.deployment.add_target(
+        "e-a", "engine",
+        [&](const io::http_request& request, const scripted_target::reply& out)
+        {
+            out.write(stream_head(request));
+            first = out;
+        },
+        "a");
+    cr_assert(log_shows(it.deployment, "target_learnt target=e-a"));
+    const auto stream = it.deployment.begin(next_request(it.deployment, "/draft/x"));
+    cr_assert(it.deployment.wait_until([&] { return first.has_value(); }));
+    it.evacuate();
+    cr_assert(log_shows(it.deployment, "evacuation_begun data_centre=a"));
+    first->reset();
+    cr_assert(log_shows(it.deployment, "probe_omitted target=e-a"));
+    cr_assert(it.deployment.wait_until([&] { return stream->result.ended; }));
+    cr_assert_eq(engine.requests().size(), 1);
+    cr_assert_eq(engine.connections_accepted(), 1);
+}
+
 /// The end of one evacuation ended another one, or a cancelled one went on.
 Test(gateway_evacuation_failures, overlapping_evacuations_end_separately)
 {
