--- a/source/core/fleet/target_eligibility.cpp
+++ b/source/core/fleet/target_eligibility.cpp
@@ -72,6 +72,33 @@
     return std::nullopt;
 }
 
+/// False when only its own entry can speak against a target. This is the usual case, and each call
+/// judges all targets of its service, so it must cost next to nothing. A new reason that notices or
+/// other state can give has to be added here.
+bool target_eligibility::may_have_reasons(const permitted_regions& regions) const
+{
+    return regions.is_restricted() || !m_evacuations.empty() || m_targets.has_notices();
+}
+
+std::vector<const target*> target_eligibility::placeable(std::string_view service,
+                                                         const permitted_regions& regions,
+                                                         timestamp now, skip_counts& skipped) const
+{
+    auto out = m_targets.registered(service, now);
+    const bool judges_all = may_have_reasons(regions);
+    std::erase_if(out,
+                  [&](const target* it)
+                  {
+                      if (!judges_all && !it->is_draining)
+                          return false;
+                      const auto why = judge(*it, regions, now);
+                      if (why)
+                          ++skipped.at(why->index());
+                      return why.has_value();
+                  });
+    return out;
+}
+
 std::vector<const target*> target_eligibility::eligible(std::string_view service,
                                                         const permitted_regions& regions,
                                                         timestamp now) const
--- a/source/core/fleet/target_eligibility.hpp
+++ b/source/core/fleet/target_eligibility.hpp
@@ -5,7 +5,9 @@
 #include "fleet/regions.hpp"
 #include "fleet/target_table.hpp"
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string_view>
@@ -50,6 +52,9 @@
 /// The number of reasons; a reason's number is its index in the variant.
 inline constexpr std::size_t ineligibility_count = std::variant_size_v<ineligibility>;
 
+/// How often targets were left out, by the number of the reason.
+using skip_counts = std::array<std::int64_t, ineligibility_count>;
+
 /// The name of a reason by its number, for logs and metrics.
 std::string_view ineligibility_name(std::size_t index);
 /// From when on the reason no longer applies; none when that is not known.
@@ -75,6 +80,10 @@
     /// predictions count a target whose rate is used up, since the next call may be sent soon.
     std::optional<ineligibility>
     judge_apart_from_rate(const target& it, const permitted_regions& regions, timestamp now) const;
+    /// The targets of a service to which the call may be sent now, by id. Adds the targets that are
+    /// left out to `skipped`.
+    std::vector<const target*> placeable(std::string_view service, const permitted_regions& regions,
+                                         timestamp now, skip_counts& skipped) const;
     /// The targets of a service that may serve the call, by id, apart from their rates.
     std::vector<const target*> eligible(std::string_view service, const permitted_regions& regions,
                                         timestamp now) const;
@@ -91,6 +100,7 @@
     refusal(std::string_view service, const permitted_regions& regions, timestamp now) const;
 
 private:
+    bool may_have_reasons(const permitted_regions& regions) const;
     std::string_view region_of(const target& it) const;
 
     const target_table& m_targets;
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -113,6 +113,8 @@
     /// All targets of a service whose entries are valid and that own their addresses, by id. They
     /// may be draining or busy.
     std::vector<const target*> registered(std::string_view service, timestamp now) const;
+    /// True when any target has said something about itself in a response.
+    bool has_notices() const { return !m_notices.empty(); }
     /// True when the target's entry or a notice says that it drains.
     bool is_draining(const target& it, timestamp now) const
     {
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -21,7 +21,6 @@
 #include "shell/program.hpp"
 #include "shell/settings_follower.hpp"
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -188,7 +187,7 @@
     /// The process was paused before the last tick, so what arrived meanwhile may not be read yet.
     bool m_was_paused = false;
     /// How often a target was not considered for a call, by the number of the reason.
-    std::array<std::int64_t, fleet::ineligibility_count> m_skipped_targets{};
+    fleet::skip_counts m_skipped_targets{};
     common::metrics m_metrics;
     common::limited_log m_success_log;
     common::limited_log m_failure_log;
--- a/source/gateway/placement.cpp
+++ b/source/gateway/placement.cpp
@@ -87,13 +87,8 @@
     const auto max_streams = state.latency.has_engine()
                                  ? state.latency.max_streams_for_gap(it.gap_goal())
                                  : std::numeric_limits<double>::max();
-    for (const auto* t : targets().registered(name, now))
+    for (const auto* t : m_eligibility.placeable(name, it.regions(), now, m_skipped_targets))
     {
-        if (const auto why = m_eligibility.judge(*t, it.regions(), now))
-        {
-            ++m_skipped_targets.at(why->index());
-            continue;
-        }
         auto limit = std::min(static_cast<double>(t->slots), max_streams);
         if (const auto slowdown = m_follower.slowdown_of(t->address); slowdown > 1)
             limit = std::min(limit, state.latency.max_streams_at_slowdown(slowdown));
--- a/source/unit_tests/fleet/target_eligibility_test.cpp
+++ b/source/unit_tests/fleet/target_eligibility_test.cpp
@@ -85,6 +85,28 @@
     cr_assert_eq(it.reason("d", north), "outside_permitted_regions");
 }
 
+/// Placement must find the same reasons as a single judgement, with and without the fast path for
+/// targets against which nothing is known.
+Test(target_eligibility, placement_leaves_out_and_counts_each_reason)
+{
+    four_targets it;
+    skip_counts skipped{};
+    cr_assert_eq(it.judge.placeable("s", unrestricted, start, skipped).size(), 4);
+    cr_assert(skipped == skip_counts{});
+    it.put("a", true);
+    cr_assert_eq(it.judge.placeable("s", unrestricted, start, skipped).size(), 3);
+    cr_assert(skipped == (skip_counts{1, 0, 0, 0, 0}));
+    it.targets.note_busy("t-b", 0, busy_time, start);
+    it.evacuated.begin("c", start);
+    it.over_rate = "t-d";
+    skipped = {};
+    cr_assert(it.judge.placeable("s", unrestricted, start, skipped).empty());
+    cr_assert(skipped == (skip_counts{1, 1, 1, 1, 0}));
+    skipped = {};
+    cr_assert(it.judge.placeable("s", north, start, skipped).empty());
+    cr_assert(skipped == (skip_counts{1, 1, 0, 0, 2}));
+}
+
 /// A notice of a response must count before the entry in the store says the same.
 Test(target_eligibility, draining_notice_counts)
 {
