Limit the slots of late calls under the admission policy `value`

After a failure of all targets the waiting calls are late and took all slots at once, so calls that arrived within the next slot time were late as well. Late calls may now hold the slots that the arrivals of one slot time don't need, at least one in ten, and are refused (2018) when they can't start before their deadline under this limit. The default policy, `deadline`, is unchanged.

--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -53,6 +53,7 @@
     target_busy = 2012,
     prompt_quarantined = 2013,
     request_quarantined = 2014,
+    late_call_refused = 2018,
 
     outcome_unknown = 3001,
     in_progress = 3002,
--- a/source/core/common/settings.cpp
+++ b/source/core/common/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "common/text.hpp"
 
+#include <absl/strings/str_join.h>
 #include <ini.h>
 
 #include <algorithm>
@@ -69,6 +70,14 @@
         return {};
     }
 
+    std::string operator()(const choice_setting& s) const
+    {
+        if (std::ranges::find(s.choices, value) == s.choices.end())
+            return common::concat("'", value, "' is not one of: ", absl::StrJoin(s.choices, ", "));
+        *s.target = value;
+        return {};
+    }
+
     std::string operator()(const address_setting& s) const
     {
         if (value.empty() && !s.required)
--- a/source/core/common/settings.hpp
+++ b/source/core/common/settings.hpp
@@ -52,6 +52,13 @@
     bool* target;
 };
 
+/// A setting with one of the given values.
+struct choice_setting
+{
+    std::string* target;
+    std::vector<std::string> choices;
+};
+
 /// An address setting, `ip:port`.
 struct address_setting
 {
@@ -60,7 +67,7 @@
 };
 
 using setting = std::variant<text_setting, number_setting, decimal_setting, duration_setting,
-                             flag_setting, address_setting>;
+                             flag_setting, choice_setting, address_setting>;
 
 /// One error in a settings file; line 0 means the file as a whole.
 struct settings_error
--- a/source/core/policy/admission_queue.cpp
+++ b/source/core/policy/admission_queue.cpp
@@ -92,6 +92,8 @@
 std::optional<milliseconds> admission_queue::offer(const waiting_call& call, timestamp now,
                                                    double draw)
 {
+    if (limits_late_calls())
+        m_late_calls.record_arrival(now);
     if (m_halted_slots && m_calls.size() >= *m_halted_slots)
         return retry_after(now, draw);
     const auto ahead = std::ranges::count_if(m_calls, [&](const auto& it)
@@ -108,6 +110,8 @@
 
 bool admission_queue::goes_before(const waiting_call& a, const waiting_call& b, timestamp now) const
 {
+    if (limits_late_calls() && a.is_answered_in_part != b.is_answered_in_part)
+        return a.is_answered_in_part;
     const bool a_in_time = now <= a.in_time_until;
     const bool b_in_time = now <= b.in_time_until;
     if (a_in_time != b_in_time)
@@ -120,9 +124,12 @@
 std::optional<std::uint64_t>
 admission_queue::next(timestamp now, const std::function<bool(std::uint64_t)>& may_start) const
 {
+    const bool may_start_late = !limits_late_calls() || m_late_calls.may_start(now);
     const waiting_call* best = nullptr;
     for (const auto& [id, it] : m_calls)
     {
+        if (!may_start_late && use_of(it, now) == slot_use::late)
+            continue;
         if ((best == nullptr || goes_before(it, *best, now)) && may_start(id))
             best = &it;
     }
@@ -131,18 +138,64 @@
 
 void admission_queue::started(std::uint64_t id, timestamp now)
 {
-    m_calls.erase(id);
+    const auto it = m_calls.find(id);
+    if (it != m_calls.end())
+    {
+        if (limits_late_calls())
+            m_late_calls.started(id, use_of(it->second, now));
+        m_calls.erase(it);
+    }
     m_starts.push_back(now);
     while (now - m_starts.front() > m_options.rate_window)
         m_starts.pop_front();
 }
 
+slot_use admission_queue::use_of(const waiting_call& call, timestamp now) const
+{
+    if (call.is_answered_in_part)
+        return slot_use::resumed;
+    return now <= call.in_time_until ? slot_use::on_time : slot_use::late;
+}
+
+/// A call that has not started by then is refused.
+timestamp admission_queue::latest_start(const waiting_call& call) const
+{
+    return call.arrived + fraction_of(call.deadline - call.arrived, m_options.max_wait_fraction);
+}
+
+std::vector<std::uint64_t> admission_queue::take_unstartable_late(timestamp now)
+{
+    if (!limits_late_calls() || !m_late_calls.is_active())
+        return {};
+    std::vector<const waiting_call*> late;
+    for (const auto& [id, it] : m_calls)
+    {
+        if (use_of(it, now) == slot_use::late)
+            late.push_back(&it);
+    }
+    std::ranges::stable_sort(late, [&](const auto* a, const auto* b)
+                             { return goes_before(*a, *b, now); });
+    std::vector<std::uint64_t> out;
+    std::size_t kept = 0;
+    for (const auto* it : late)
+    {
+        if (it->is_certainly_not_executed &&
+            m_late_calls.predicted_start(kept, now) > latest_start(*it))
+            out.push_back(it->id);
+        else
+            ++kept;
+    }
+    for (const auto id : out)
+        m_calls.erase(id);
+    return out;
+}
+
 std::vector<std::uint64_t> admission_queue::take_expired(timestamp now)
 {
     std::vector<std::uint64_t> out;
     for (const auto& [id, it] : m_calls)
     {
-        if (now - it.arrived > fraction_of(it.deadline - it.arrived, m_options.max_wait_fraction))
+        if (now > latest_start(it))
             out.push_back(id);
     }
     for (const auto id : out)
--- a/source/core/policy/admission_queue.hpp
+++ b/source/core/policy/admission_queue.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.hpp"
+#include "policy/late_call_limit.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -29,6 +30,17 @@
     timestamp deadline;
     /// The caller has got a part of the response, so the call can't be refused any more.
     bool is_answered_in_part = false;
+    /// No target can have executed the call, so a refusal tells its caller that a retry is safe.
+    bool is_certainly_not_executed = true;
+};
+
+/// Which calls wait and which are refused when there are more than the targets can serve.
+enum class admission_policy : std::uint8_t
+{
+    /// Calls on time by priority and remaining time, then late calls in any number.
+    deadline,
+    /// Resumed calls first; late calls are limited to the slots that calls on time don't need.
+    value
 };
 
 /// The time that the calls of a process have left when it shuts down.
@@ -45,6 +57,7 @@
 /// The limits of an admission queue.
 struct admission_queue_options
 {
+    admission_policy policy = admission_policy::deadline;
     /// The part of its time, from arrival to deadline, that a call may wait. What remains is for
     /// the refusal to reach a caller that still listens.
     double max_wait_fraction = 0.85;
@@ -91,9 +104,17 @@
     }
     /// The call has started.
     void started(std::uint64_t id, timestamp now);
+    /// The call no longer occupies a slot.
+    void slot_freed(std::uint64_t id) { m_late_calls.ended(id); }
     void remove(std::uint64_t id) { m_calls.erase(id); }
+    /// What the service's targets offer to this gateway. The policy `value` needs it.
+    void set_capacity(const service_capacity& it) { m_late_calls.set_capacity(it); }
+    const late_call_limit& late_calls() const { return m_late_calls; }
     /// Removes and returns the calls that have waited too long to be served.
     std::vector<std::uint64_t> take_expired(timestamp now);
+    /// Removes and returns the late calls that are predicted not to start in time for their callers
+    /// under the limit of late calls. Only those are refused that no target can have executed.
+    std::vector<std::uint64_t> take_unstartable_late(timestamp now);
     /// Removes and returns the calls whose deadline is before `available_at`, the time at which the
     /// first target accepts calls again.
     std::vector<std::uint64_t> take_unservable(timestamp available_at);
@@ -119,9 +140,13 @@
     std::optional<double> measured_start_rate(timestamp now) const;
     std::optional<double> shutdown_start_rate(const remaining_time& left, timestamp now) const;
     bool goes_before(const waiting_call& a, const waiting_call& b, timestamp now) const;
+    slot_use use_of(const waiting_call& call, timestamp now) const;
+    timestamp latest_start(const waiting_call& call) const;
+    bool limits_late_calls() const { return m_options.policy == admission_policy::value; }
 
     admission_queue_options m_options;
     std::map<std::uint64_t, waiting_call> m_calls;
+    late_call_limit m_late_calls;
     std::deque<timestamp> m_starts;
     std::optional<std::size_t> m_halted_slots;
     /// Since when calls have waited without a break.
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -44,6 +44,8 @@
     {
         fleet::target target;
         std::string request_id;
+        /// The number of the exchange.
+        std::uint64_t call = 0;
         bool expects_stream = false;
         /// A request that is not idempotent must not use a connection that the target may be
         /// about to close.
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -133,7 +133,9 @@
             .arrived = since,
             .in_time_until = since + m_route->goal - expected,
             .deadline = std::min(m_deadline, leaves_at) - expected,
-            .is_answered_in_part = m_responder->is_started()};
+            .is_answered_in_part = m_responder->is_started(),
+            .is_certainly_not_executed =
+                m_attempts.is_certainly_not_executed() && !m_responder->is_started() && !m_attempt};
 }
 
 void exchange::requeue()
@@ -160,7 +162,7 @@
     m_last_gap = milliseconds{0};
     m_attempt = std::make_unique<attempt>(
         m_gateway, *this,
-        attempt::options{it, m_caller.id, fleet::is_stream(m_route->kind),
+        attempt::options{it, m_caller.id, m_number, fleet::is_stream(m_route->kind),
                          m_route->kind == fleet::call_kind::idempotent, time_left},
         request);
     common::log(common::log_level::debug, "attempt_sent",
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -53,6 +53,8 @@
     schema.add("retries", "extra", common::decimal_setting{&s.retries.extra, 0, most});
     schema.add("retries", "window_ms",
                common::duration_setting{&s.retries.window, milliseconds{1}, longest});
+    schema.add("admission", "policy",
+               common::choice_setting{&s.admission_policy, {"deadline", "value"}});
 }
 
 gateway::gateway(io::event_loop& loop, io::http_client& client, kv::store& store,
@@ -77,6 +79,8 @@
           [this](const io::received_request& received, const io::responder_ptr& responder)
           { handle_admin_request(received, *responder); }}
 {
+    if (m_settings.admission_policy == "value")
+        m_admission_options.policy = policy::admission_policy::value;
 }
 
 gateway::~gateway() = default;
@@ -265,7 +269,7 @@
 
 void gateway::dispatch(const std::string& name)
 {
-    auto& state = m_services[name];
+    auto& state = service(name);
     const auto now = common::now();
     refuse_unreachable_deadlines(name, state, now);
     std::set<std::uint64_t> unplaced;
@@ -296,6 +300,7 @@
         if (!it->leave_target(now))
             continue;
         state.queue.started(*id, now);
+        state.gap_goal = it->gap_goal();
         m_crash_guard.record_sent(it->marks(), now);
         m_rate_limiter.record_send(target, now);
         it->send_to(*targets().find_usable(target, now));
@@ -321,6 +326,7 @@
         }
         update_queue_halt(name, state, now);
         update_latency_model(name, state, now);
+        update_admission(name, state, now);
         if (!state.queue.empty())
             dispatch(name);
     }
@@ -374,13 +380,13 @@
                            { return sum + static_cast<std::size_t>(it->slots); });
 }
 
-double gateway::usual_start_rate(const std::string& service, timestamp now)
+double gateway::usual_start_rate(const std::string& name, timestamp now)
 {
-    const auto response_time = m_services[service].picker.mean_response_time();
+    const auto response_time = service(name).picker.mean_response_time();
     if (response_time.count() == 0)
         return 0;
     const std::chrono::duration<double> seconds = response_time;
-    return static_cast<double>(slots_of(service, now)) / seconds.count() /
+    return static_cast<double>(slots_of(name, now)) / seconds.count() /
            static_cast<double>(m_follower.peers().size() + 1);
 }
 
@@ -429,7 +435,7 @@
         for (const auto& [name, it] : c->services)
         {
             if (it.engine)
-                m_services[name].latency.set_engine(*it.engine);
+                service(name).latency.set_engine(*it.engine);
         }
     }
     for (const auto& [name, state] : m_services)
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -26,6 +26,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace kumquatgap::gateway
 {
@@ -43,6 +44,8 @@
     /// `ip:port` for metrics; none when empty.
     std::string metrics_listen;
     policy::retry_limits retries;
+    /// `deadline` or `value`: a name of policy::admission_policy.
+    std::string admission_policy{"deadline"};
     /// Time from SIGTERM to SIGKILL.
     milliseconds grace{8000};
 };
@@ -55,7 +58,9 @@
 /// The state that the gateway keeps for each service.
 struct service_state
 {
-    policy::admission_queue queue{policy::admission_queue_options{}};
+    explicit service_state(const policy::admission_queue_options& admission) : queue{admission} {}
+
+    policy::admission_queue queue;
     policy::least_load_picker picker{policy::least_load_picker_options{}};
     /// No call is sent before this time, since the group of targets has a failed member.
     timestamp paused_until;
@@ -67,6 +72,12 @@
     bool is_halted = false;
     policy::stall_detector stalls;
     policy::engine_latency_model latency;
+    /// This gateway's part of the calls that run at the service's targets; 0 before it is measured.
+    double share = 0;
+    /// The most slots that were usable lately; falls slowly.
+    double recent_slots = 0;
+    /// The route's limit of event gaps of the last call that was sent.
+    milliseconds gap_goal{0};
 };
 
 /// Accepts callers' requests and forwards them directly to targets.
@@ -104,7 +115,10 @@
     {
         return m_follower.configuration();
     }
-    service_state& service(const std::string& name) { return m_services[name]; }
+    service_state& service(const std::string& name)
+    {
+        return m_services.try_emplace(name, m_admission_options).first->second;
+    }
     /// True when new calls are refused, so that open calls can finish before the process exits.
     bool refuses_calls() const { return m_refuses_calls; }
     /// The limit of the memory for all responses that are being buffered: a fifth of the memory of
@@ -116,7 +130,7 @@
     double random() { return std::uniform_real_distribution<double>{0, 1}(m_random); }
     /// The calls of a service that this gateway usually starts per second when all slots are taken,
     /// by the mean response time; 0 before the first response.
-    double usual_start_rate(const std::string& service, timestamp now);
+    double usual_start_rate(const std::string& name, timestamp now);
     /// Sends the queued calls of a service for which a target has a free slot.
     void dispatch(const std::string& name);
     /// Removes an exchange that has ended.
@@ -138,6 +152,11 @@
     /// The slots of all usable targets of a service.
     std::size_t slots_of(const std::string& service, timestamp now) const;
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
+    /// Tells the service's queue how many slots this gateway may use, and refuses the late calls
+    /// that don't start in time.
+    void update_admission(const std::string& name, service_state& state, timestamp now);
+    double slot_share(const std::vector<const fleet::target*>& all, service_state& state,
+                      timestamp now) const;
     void update_latency_model(const std::string& name, service_state& state, timestamp now);
     void handle_state_change();
     void reload_settings(const std::string& text);
@@ -161,6 +180,7 @@
     common::limited_log m_success_log;
     common::limited_log m_failure_log;
     std::mt19937_64 m_random{std::random_device{}()};
+    policy::admission_queue_options m_admission_options;
     std::map<std::string, service_state> m_services;
     std::map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
     std::uint64_t m_next_exchange = 1;
--- a/source/unit_tests/common/settings_test.cpp
+++ b/source/unit_tests/common/settings_test.cpp
@@ -72,3 +72,15 @@
     const std::vector<std::string> expected{"process.delay_ms", "process.name"};
     cr_assert(a.schema.differences(b.schema) == expected);
 }
+
+/// Guards against a misspelt choice that would silently select the default.
+Test(settings, unknown_choice_is_an_error)
+{
+    std::string policy = "deadline";
+    settings_schema schema;
+    schema.add("admission", "policy", choice_setting{&policy, {"deadline", "value"}});
+    cr_assert(schema.read("[admission]\npolicy = value\n").empty());
+    cr_assert(policy == "value");
+    cr_assert_eq(schema.read("[admission]\npolicy = values\n").size(), 1U);
+    cr_assert(schema.read("").empty());
+}
