--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -52,7 +52,7 @@
     {request_quarantined, "request_quarantined", 503, not_run,
      "The same request has crashed targets."},
     {late_call_refused, "late_call_refused", 429, not_run,
-     "The call is late, and calls on time need the targets."},
+     "The call would be late, and calls on time need the targets."},
 
     {outcome_unknown, "outcome_unknown", 504, unknown,
      "The call may have run; its answer was lost."},
--- a/source/core/policy/admission_queue.cpp
+++ b/source/core/policy/admission_queue.cpp
@@ -80,7 +80,7 @@
     const auto rate = start_rate(now);
     // A group takes a second or more to re-form.
     if (m_halted_slots)
-        return fraction_of(m_options.max_retry_after, (1 + draw) / 2);
+        return late_retry_after(draw);
     const auto drain_ms = rate ? static_cast<double>(m_calls.size()) / *rate * ms_per_s : 0;
     const auto lowest = static_cast<double>(m_options.min_retry_after.count());
     const auto highest = static_cast<double>(m_options.max_retry_after.count());
@@ -89,13 +89,24 @@
     return milliseconds{static_cast<std::int64_t>(ms)};
 }
 
+milliseconds admission_queue::late_retry_after(double draw) const
+{
+    return fraction_of(m_options.max_retry_after, (1 + draw) / 2);
+}
+
 std::optional<milliseconds> admission_queue::offer(const waiting_call& call, timestamp now,
                                                    double draw)
 {
     if (limits_late_calls())
-        m_late_calls.record_arrival(now);
-    if (m_halted_slots && m_calls.size() >= *m_halted_slots)
+        m_late_calls.record_arrival(call.priority, now);
+    const auto excess = limits_late_calls() ? m_options.max_halted_excess : 1;
+    if (m_halted_slots && m_calls.size() >= *m_halted_slots * excess)
         return retry_after(now, draw);
+    if (limits_late_calls() && m_late_calls.is_active())
+    {
+        add(call, now);
+        return std::nullopt;
+    }
     const auto ahead = std::ranges::count_if(m_calls, [&](const auto& it)
                                              { return it.second.priority <= call.priority; });
     const auto rate = m_halted_slots ? std::nullopt : start_rate(now);
@@ -110,8 +121,8 @@
 
 bool admission_queue::goes_before(const waiting_call& a, const waiting_call& b, timestamp now) const
 {
-    if (limits_late_calls() && a.is_answered_in_part != b.is_answered_in_part)
-        return a.is_answered_in_part;
+    if (m_options.policy == admission_policy::value)
+        return m_value.goes_before(a, b, now);
     const bool a_in_time = now <= a.in_time_until;
     const bool b_in_time = now <= b.in_time_until;
     if (a_in_time != b_in_time)
@@ -142,7 +153,7 @@
     if (it != m_calls.end())
     {
         if (limits_late_calls())
-            m_late_calls.started(id, use_of(it->second, now));
+            record_start(it->second, now);
         m_calls.erase(it);
     }
     m_starts.push_back(now);
@@ -163,30 +174,87 @@
     return call.arrived + fraction_of(call.deadline - call.arrived, m_options.max_wait_fraction);
 }
 
+std::vector<const waiting_call*> admission_queue::in_order(timestamp now) const
+{
+    std::vector<const waiting_call*> out;
+    std::ranges::transform(m_calls, std::back_inserter(out),
+                           [](const auto& it) { return &it.second; });
+    std::ranges::stable_sort(out, [&](const auto* a, const auto* b)
+                             { return goes_before(*a, *b, now); });
+    return out;
+}
+
+void admission_queue::record_start(const waiting_call& call, timestamp now)
+{
+    m_late_calls.started(call.id, use_of(call, now));
+    if (!call.is_answered_in_part)
+        m_value.record_end(call, true);
+}
+
+/// Removes calls that are refused.
+void admission_queue::erase_refused(const std::vector<std::uint64_t>& ids)
+{
+    for (const auto id : ids)
+    {
+        const auto it = m_calls.find(id);
+        m_value.record_end(it->second, false);
+        m_calls.erase(it);
+    }
+}
+
+/// True if the call starts late when `ahead` others start before it.
+bool admission_queue::is_predicted_late(const waiting_call& call, std::size_t ahead,
+                                        timestamp now) const
+{
+    const auto use = use_of(call, now);
+    if (use != slot_use::on_time)
+        return use == slot_use::late;
+    // No start rate is known during a halt.
+    if (m_halted_slots)
+        return false;
+    const auto rate = std::max(measured_start_rate(now).value_or(0), m_late_calls.start_rate());
+    // More urgent calls that arrive later go before this one as well.
+    const auto left = std::max(rate - m_late_calls.urgent_arrival_rate(call.priority, now),
+                               rate * m_options.min_rate_fraction);
+    const auto wait_ms = static_cast<double>(ahead) / left * ms_per_s;
+    return wait_ms * m_options.certain_wait_fraction >
+           static_cast<double>((call.in_time_until - now).count());
+}
+
 std::vector<std::uint64_t> admission_queue::take_unstartable_late(timestamp now)
 {
     if (!limits_late_calls() || !m_late_calls.is_active())
         return {};
-    std::vector<const waiting_call*> late;
-    for (const auto& [id, it] : m_calls)
+    std::vector<std::uint64_t> out;
+    std::size_t on_time = 0;
+    std::size_t late = 0;
+    for (const auto* it : in_order(now))
     {
-        if (use_of(it, now) == slot_use::late)
-            late.push_back(&it);
+        const bool is_late = is_predicted_late(*it, on_time, now);
+        if (is_late && it->is_certainly_not_executed &&
+            m_late_calls.predicted_start(late, now) > latest_start(*it))
+            out.push_back(it->id);
+        else
+            ++(is_late ? late : on_time);
     }
-    std::ranges::stable_sort(late, [&](const auto* a, const auto* b)
-                             { return goes_before(*a, *b, now); });
+    erase_refused(out);
+    return out;
+}
+
+std::vector<std::uint64_t> admission_queue::take_excess(timestamp now)
+{
+    if (!limits_late_calls() || !m_halted_slots)
+        return {};
     std::vector<std::uint64_t> out;
     std::size_t kept = 0;
-    for (const auto* it : late)
+    for (const auto* it : in_order(now))
     {
-        if (it->is_certainly_not_executed &&
-            m_late_calls.predicted_start(kept, now) > latest_start(*it))
+        if (kept >= *m_halted_slots && it->is_certainly_not_executed && !it->is_answered_in_part)
             out.push_back(it->id);
         else
             ++kept;
     }
-    for (const auto id : out)
-        m_calls.erase(id);
+    erase_refused(out);
     return out;
 }
 
@@ -198,8 +266,7 @@
         if (now > latest_start(it))
             out.push_back(id);
     }
-    for (const auto id : out)
-        m_calls.erase(id);
+    erase_refused(out);
     return out;
 }
 
--- a/source/core/policy/admission_queue.hpp
+++ b/source/core/policy/admission_queue.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.hpp"
+#include "policy/call_value.hpp"
 #include "policy/late_call_limit.hpp"
 
 #include <cstdint>
@@ -16,24 +17,6 @@
 using common::milliseconds;
 using common::timestamp;
 
-/// A call that waits for a slot at a target.
-struct waiting_call
-{
-    std::uint64_t id = 0;
-    /// 0 is served first.
-    int priority = 0;
-    timestamp arrived;
-    /// A call that starts by then is answered in time.
-    timestamp in_time_until;
-    /// A call that starts after this is not served, since its caller has left by its first
-    /// response.
-    timestamp deadline;
-    /// The caller has got a part of the response, so the call can't be refused any more.
-    bool is_answered_in_part = false;
-    /// No target can have executed the call, so a refusal tells its caller that a retry is safe.
-    bool is_certainly_not_executed = true;
-};
-
 /// Which calls wait and which are refused when there are more than the targets can serve.
 enum class admission_policy : std::uint8_t
 {
@@ -58,6 +41,9 @@
 struct admission_queue_options
 {
     admission_policy policy = admission_policy::deadline;
+    /// The order of calls under the policy `value`.
+    call_value_options value = {};
+    late_call_limit_options late = {};
     /// The part of its time, from arrival to deadline, that a call may wait. What remains is for
     /// the refusal to reach a caller that still listens.
     double max_wait_fraction = 0.85;
@@ -73,6 +59,14 @@
     /// The bounds of the time after which a refused caller is asked to retry.
     milliseconds min_retry_after{300};
     milliseconds max_retry_after{2500};
+    /// A call is predicted to be late when this fraction of its predicted wait is more than the
+    /// time that it has: the start rate is an estimate.
+    double certain_wait_fraction = 0.75;
+    /// The least fraction of the start rate that calls of a priority are predicted to get.
+    double min_rate_fraction = 0.1;
+    /// During a halt this many times the calls that may wait are taken until the next check, which
+    /// keeps the most valuable ones.
+    std::size_t max_halted_excess = 2;
 };
 
 /// Calls that wait at this gateway for a slot of one service. Load pattern: a load spike of some
@@ -85,7 +79,10 @@
 class admission_queue
 {
 public:
-    explicit admission_queue(admission_queue_options options) : m_options{options} {}
+    explicit admission_queue(admission_queue_options options)
+        : m_options{options}, m_late_calls{options.late}, m_value{options.value}
+    {
+    }
 
     /// Adds a call, or returns the time after which its caller should retry. `draw`, a random
     /// number in [0, 1), spreads the retries.
@@ -108,13 +105,21 @@
     void slot_freed(std::uint64_t id) { m_late_calls.ended(id); }
     void remove(std::uint64_t id) { m_calls.erase(id); }
     /// What the service's targets offer to this gateway. The policy `value` needs it.
-    void set_capacity(const service_capacity& it) { m_late_calls.set_capacity(it); }
+    void set_capacity(const service_capacity& it)
+    {
+        m_late_calls.set_capacity(it);
+        m_value.set_mean_slot_time(it.slot_time);
+    }
     const late_call_limit& late_calls() const { return m_late_calls; }
     /// Removes and returns the calls that have waited too long to be served.
     std::vector<std::uint64_t> take_expired(timestamp now);
-    /// Removes and returns the late calls that are predicted not to start in time for their callers
-    /// under the limit of late calls. Only those are refused that no target can have executed.
+    /// Removes and returns the calls that are late, or are predicted to be, and do not start in
+    /// time for their callers under the limit of late calls. Only those are refused that no target
+    /// can have executed.
     std::vector<std::uint64_t> take_unstartable_late(timestamp now);
+    /// Removes and returns the least valuable calls beyond those that may wait during a halt. Only
+    /// those are refused that no target can have executed.
+    std::vector<std::uint64_t> take_excess(timestamp now);
     /// Removes and returns the calls whose deadline is before `available_at`, the time at which the
     /// first target accepts calls again.
     std::vector<std::uint64_t> take_unservable(timestamp available_at);
@@ -128,6 +133,9 @@
     void resume(timestamp now);
     /// The time after which a caller that is refused now should retry.
     milliseconds retry_after(timestamp now, double draw) const;
+    /// The time after which a late caller that is refused should retry. Many are refused at once
+    /// after a failure, so their retries are spread widely.
+    milliseconds late_retry_after(double draw) const;
 
     std::size_t size() const { return m_calls.size(); }
     bool empty() const { return m_calls.empty(); }
@@ -142,11 +150,16 @@
     bool goes_before(const waiting_call& a, const waiting_call& b, timestamp now) const;
     slot_use use_of(const waiting_call& call, timestamp now) const;
     timestamp latest_start(const waiting_call& call) const;
+    bool is_predicted_late(const waiting_call& call, std::size_t ahead, timestamp now) const;
+    std::vector<const waiting_call*> in_order(timestamp now) const;
+    void record_start(const waiting_call& call, timestamp now);
+    void erase_refused(const std::vector<std::uint64_t>& ids);
     bool limits_late_calls() const { return m_options.policy == admission_policy::value; }
 
     admission_queue_options m_options;
     std::map<std::uint64_t, waiting_call> m_calls;
     late_call_limit m_late_calls;
+    call_value m_value;
     std::deque<timestamp> m_starts;
     std::optional<std::size_t> m_halted_slots;
     /// Since when calls have waited without a break.
--- a/source/core/policy/engine_latency_model.cpp
+++ b/source/core/policy/engine_latency_model.cpp
@@ -26,6 +26,23 @@
     return m_engine.steps_per_pass * (m_engine.step_ms + step_ms_per_stream(m_engine) * streams);
 }
 
+milliseconds engine_latency_model::predicted_slot_time(double prompt_tokens,
+                                                       double answer_tokens) const
+{
+    constexpr double ms_per_s = 1000;
+    // The measured time to the first event includes the reading of a usual prompt.
+    const auto more_prompt = prompt_tokens - m_engine.usual_prompt_tokens;
+    const auto reading_ms = prompt_tokens > 0 && m_engine.prompt_tokens_per_s > 0
+                                ? more_prompt / m_engine.prompt_tokens_per_s * ms_per_s
+                                : 0;
+    const auto passes = std::max(0.0, answer_tokens) / m_engine.steps_per_pass;
+    const auto ms = std::max(0.0, m_first_event_ms + reading_ms) +
+                    passes * predicted_pass_ms(m_streams) * m_pass_time_ratio;
+    // A day bounds the result for absurd numbers of tokens.
+    constexpr double max_ms = 86'400'000;
+    return milliseconds{std::llround(std::min(ms, max_ms))};
+}
+
 void engine_latency_model::record_event_gap(milliseconds gap)
 {
     m_gaps_ms += static_cast<double>(gap.count());
--- a/source/core/policy/engine_latency_model.hpp
+++ b/source/core/policy/engine_latency_model.hpp
@@ -80,6 +80,10 @@
     void record_first_event_latency(milliseconds after);
     /// The expected time to the first event of a run that is sent now, with a margin.
     milliseconds time_to_first_event() const;
+    /// The predicted time for which a run with such a prompt and answer occupies a slot.
+    milliseconds predicted_slot_time(double prompt_tokens, double answer_tokens) const;
+    double usual_answer_tokens() const { return m_engine.usual_answer_tokens; }
+    int steps_per_pass() const { return m_engine.steps_per_pass; }
     double pass_time_ratio() const { return m_pass_time_ratio; }
 
 private:
--- a/source/core/policy/late_call_limit.cpp
+++ b/source/core/policy/late_call_limit.cpp
@@ -5,13 +5,21 @@
 namespace kumquatgap::policy
 {
 
-void late_call_limit::record_arrival(timestamp now)
+void late_call_limit::record_arrival(int priority, timestamp now)
 {
-    m_arrivals.push_back(now);
-    while (now - m_arrivals.front() > m_options.arrival_window)
+    m_arrivals.push_back({now, priority});
+    while (now - m_arrivals.front().at > m_options.arrival_window)
         m_arrivals.pop_front();
 }
 
+double late_call_limit::urgent_arrival_rate(int priority, timestamp now) const
+{
+    const auto n = std::ranges::count_if(
+        m_arrivals, [&](const auto& it)
+        { return it.priority < priority && now - it.at <= m_options.arrival_window; });
+    return static_cast<double>(n) / std::chrono::duration<double>{m_options.arrival_window}.count();
+}
+
 void late_call_limit::started(std::uint64_t id, slot_use use)
 {
     ended(id);
@@ -28,6 +36,12 @@
     m_uses.erase(it);
 }
 
+double late_call_limit::start_rate() const
+{
+    const std::chrono::duration<double> seconds = m_capacity.slot_time;
+    return is_active() ? m_capacity.slots / seconds.count() : 0;
+}
+
 double late_call_limit::min_slots() const
 {
     return std::max(1.0, m_options.min_fraction * m_capacity.slots);
@@ -35,11 +49,12 @@
 
 double late_call_limit::limit(timestamp now) const
 {
-    const auto oldest = std::ranges::lower_bound(m_arrivals, now - m_options.arrival_window);
+    const auto oldest =
+        std::ranges::lower_bound(m_arrivals, now - m_options.arrival_window, {}, &arrival::at);
     const auto arrivals = static_cast<double>(m_arrivals.end() - oldest);
     const auto windows = std::chrono::duration<double>{m_capacity.slot_time} /
                          std::chrono::duration<double>{m_options.arrival_window};
-    return std::max(min_slots(), m_capacity.slots - arrivals * windows);
+    return std::max(min_slots(), m_capacity.slots - m_options.reserved_part * arrivals * windows);
 }
 
 /// The late calls that may start now. Slots of resumed calls do not reduce the least number.
--- a/source/core/policy/late_call_limit.hpp
+++ b/source/core/policy/late_call_limit.hpp
@@ -40,6 +40,8 @@
     double min_fraction = 0.1;
     /// The span over which arrivals are counted.
     milliseconds arrival_window{2000};
+    /// The part of a slot time whose arrivals on time are reserved slots.
+    double reserved_part = 1;
 };
 
 /// Limits the slots that late calls occupy. Load pattern: all targets of a service fail for some
@@ -55,9 +57,13 @@
     void set_capacity(const service_capacity& it) { m_capacity = it; }
     /// False until the capacity has been measured; nothing is limited before that.
     bool is_active() const { return m_capacity.slots > 0 && m_capacity.slot_time.count() > 0; }
-    void record_arrival(timestamp now);
+    void record_arrival(int priority, timestamp now);
+    /// The arrivals per second that are more urgent than the priority.
+    double urgent_arrival_rate(int priority, timestamp now) const;
     void started(std::uint64_t id, slot_use use);
     void ended(std::uint64_t id);
+    /// The calls that start per second while all slots are occupied; 0 when nothing is known.
+    double start_rate() const;
     /// The slots that late and resumed calls may occupy together.
     double limit(timestamp now) const;
     /// True if a late call may take a slot that is free.
@@ -73,7 +79,13 @@
 
     late_call_limit_options m_options;
     service_capacity m_capacity;
-    std::deque<timestamp> m_arrivals;
+    struct arrival
+    {
+        timestamp at;
+        int priority;
+    };
+
+    std::deque<arrival> m_arrivals;
     std::map<std::uint64_t, slot_use> m_uses;
     std::array<std::size_t, 3> m_occupied{};
 };
--- a/source/gateway/call_summary.hpp
+++ b/source/gateway/call_summary.hpp
@@ -20,6 +20,10 @@
     std::string_view route;
     std::string_view service;
     std::string_view team;
+    /// 0 is the most urgent.
+    int priority = 0;
+    /// The latency goal had passed at the first event, or at the end of a call without events.
+    bool is_late = false;
     common::result_code code = common::result_code::ok;
     int status = 0;
     int attempts = 0;
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -18,8 +18,6 @@
 {
 
 constexpr int first_server_error = 500;
-/// The least part of a latency goal left for queueing: a slow engine alone makes no call late.
-constexpr milliseconds min_slack{60};
 /// For how long no call is sent to a group that has a failed member.
 constexpr milliseconds group_pause{250};
 /// When more than this is unsent because the caller reads slowly, reading from the target pauses.
@@ -117,27 +115,6 @@
     m_gateway.dispatch(m_service);
 }
 
-policy::waiting_call exchange::queue_entry() const
-{
-    const auto& model = m_gateway.service(m_service).latency;
-    const auto expected = fleet::is_stream(m_route->kind)
-                              ? std::min(model.time_to_first_event(), m_route->goal - min_slack)
-                              : milliseconds{0};
-    // When a started stream has to move to another target, its caller's wait starts again now.
-    const auto since = m_first_event_at ? common::now() : m_arrived_at;
-    const auto leaves_at = m_route->caller_event_timeout.count() == 0
-                               ? m_deadline
-                               : since + m_route->caller_event_timeout;
-    return {.id = m_number,
-            .priority = m_priority,
-            .arrived = since,
-            .in_time_until = since + m_route->goal - expected,
-            .deadline = std::min(m_deadline, leaves_at) - expected,
-            .is_answered_in_part = m_responder->is_started(),
-            .is_certainly_not_executed =
-                m_attempts.is_certainly_not_executed() && !m_responder->is_started() && !m_attempt};
-}
-
 void exchange::requeue()
 {
     m_is_queued = true;
@@ -358,7 +335,7 @@
         return fail(result_code::stream_cut, detail);
     // Another gateway may serve the call at once when this one is about to exit.
     const auto retry_after =
-        code == result_code::router_draining ? retry_after_draining : retry_after_time();
+        code == result_code::router_draining ? retry_after_draining : retry_after_time(code);
     m_responder->reply(m_gateway.adapter().error_response({code, detail, retry_after}));
     end("request_refused", code, common::info(code).http_status);
 }
@@ -407,16 +384,6 @@
                             common::now());
 }
 
-milliseconds exchange::retry_after_time() const
-{
-    const auto now = common::now();
-    const auto by_queue = m_gateway.service(m_service).queue.retry_after(now, m_gateway.random());
-    const auto back_at = m_gateway.targets().all_busy_until(m_service, now);
-    if (!back_at)
-        return by_queue;
-    return std::chrono::duration_cast<milliseconds>(*back_at - now) + by_queue;
-}
-
 /// Ends a call that may have been executed. A started stream is cut, so it can't look complete.
 void exchange::fail(result_code code, const std::string& detail)
 {
@@ -446,6 +413,8 @@
             .route = m_route == nullptr ? std::string_view{} : m_route->name,
             .service = m_service,
             .team = m_team,
+            .priority = m_priority,
+            .is_late = is_late(now),
             .code = code,
             .status = status,
             .attempts = m_attempts.sent(),
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -104,12 +104,14 @@
     void fail(common::result_code code, const std::string& detail);
     void refuse(common::result_code code, const std::string& detail);
     /// The Retry-After of a refused call: not before a target accepts calls again.
-    milliseconds retry_after_time() const;
+    milliseconds retry_after_time(common::result_code why) const;
     void handle_disconnect();
     void end(std::string_view event, common::result_code code, int status);
     call_summary summary(std::string_view event, common::result_code code, int status,
                          timestamp now) const;
     policy::waiting_call queue_entry() const;
+    milliseconds predicted_slot_time() const;
+    bool is_late(timestamp now) const;
 
     gateway& m_gateway;
     std::uint64_t m_number;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -55,6 +55,10 @@
                common::duration_setting{&s.retries.window, milliseconds{1}, longest});
     schema.add("admission", "policy",
                common::choice_setting{&s.admission_policy, {"deadline", "value"}});
+    constexpr double max_value_ratio = 100;
+    schema.add("admission", "priority_value_ratio",
+               common::decimal_setting{&s.priority_value_ratio, 1, max_value_ratio});
+    schema.add("admission", "reserved_part", common::decimal_setting{&s.reserved_part, 0, 1});
 }
 
 gateway::gateway(io::event_loop& loop, io::http_client& client, kv::store& store,
@@ -81,6 +85,8 @@
 {
     if (m_settings.admission_policy == "value")
         m_admission_options.policy = policy::admission_policy::value;
+    m_admission_options.value.priority_value_ratio = m_settings.priority_value_ratio;
+    m_admission_options.late.reserved_part = m_settings.reserved_part;
 }
 
 gateway::~gateway() = default;
@@ -188,6 +194,7 @@
         const auto set = [&](std::string_view what, std::int64_t value)
         { m_metrics.set(common::concat(what, "{service=\"", name, "\"}"), value); };
         set("kqg_calls_waiting", static_cast<std::int64_t>(state.queue.size()));
+        write_admission_metrics(name, state, now);
         const auto retries = m_retry_budget.state(name, now);
         set("kqg_retries_in_window", retries.retries);
         set("kqg_retries_left", static_cast<std::int64_t>(retries.left()));
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -46,6 +46,9 @@
     policy::retry_limits retries;
     /// `deadline` or `value`: a name of policy::admission_policy.
     std::string admission_policy{"deadline"};
+    /// Parameters of the policy `value`.
+    double priority_value_ratio = 2;
+    double reserved_part = 1;
     /// Time from SIGTERM to SIGKILL.
     milliseconds grace{8000};
 };
@@ -141,6 +144,8 @@
     void handle_peer_state(const std::string& peer, const peer_state& it);
     void refuse_unreachable_deadlines(const std::string& name, service_state& state, timestamp now);
     void write_metrics(timestamp now);
+    void write_admission_metrics(const std::string& name, const service_state& state,
+                                 timestamp now);
     void handle_admin_request(const io::received_request& received, io::responder& responder);
     std::string pick_target(const std::string& name, service_state& state, const exchange& it,
                             timestamp now);
@@ -152,9 +157,10 @@
     /// The slots of all usable targets of a service.
     std::size_t slots_of(const std::string& service, timestamp now) const;
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
-    /// Tells the service's queue how many slots this gateway may use, and refuses the late calls
-    /// that don't start in time.
+    /// Tells the service's queue how many slots this gateway may use, and refuses the calls that
+    /// don't start in time.
     void update_admission(const std::string& name, service_state& state, timestamp now);
+    void refuse_queued(const std::vector<std::uint64_t>& ids, common::result_code why);
     double slot_share(const std::vector<const fleet::target*>& all, service_state& state,
                       timestamp now) const;
     void update_latency_model(const std::string& name, service_state& state, timestamp now);
--- a/source/gateway/gateway_admission.cpp
+++ b/source/gateway/gateway_admission.cpp
@@ -1,3 +1,4 @@
+#include "common/text.hpp"
 #include "gateway/exchange.hpp"
 #include "gateway/gateway.hpp"
 
@@ -52,6 +53,7 @@
 {
     if (m_admission_options.policy == policy::admission_policy::deadline)
         return;
+    refuse_queued(state.queue.take_excess(now), common::result_code::queue_full);
     const auto all = targets().usable(name, now);
     const auto max_streams = state.latency.has_engine()
                                  ? state.latency.max_streams_for_gap(state.gap_goal)
@@ -69,11 +71,32 @@
     // Targets that come back one by one soon have more slots than now.
     if (slots < state.recent_slots * min_known_fraction)
         return;
-    for (const auto id : state.queue.take_unstartable_late(now))
+    refuse_queued(state.queue.take_unstartable_late(now), common::result_code::late_call_refused);
+}
+
+void gateway::refuse_queued(const std::vector<std::uint64_t>& ids, common::result_code why)
+{
+    for (const auto id : ids)
     {
         if (const auto it = m_exchanges.find(id); it != m_exchanges.end())
-            it->second->handle_not_started(common::result_code::late_call_refused);
+            it->second->handle_not_started(why);
     }
 }
 
+void gateway::write_admission_metrics(const std::string& name, const service_state& state,
+                                      timestamp now)
+{
+    if (m_admission_options.policy == policy::admission_policy::deadline)
+        return;
+    const auto set = [&](std::string_view what, double value)
+    {
+        m_metrics.set(common::concat(what, "{service=\"", name, "\"}"),
+                      static_cast<std::int64_t>(value));
+    };
+    const auto& late = state.queue.late_calls();
+    set("kqg_late_slots", static_cast<double>(late.occupied(policy::slot_use::late)));
+    set("kqg_resumed_slots", static_cast<double>(late.occupied(policy::slot_use::resumed)));
+    set("kqg_late_slots_limit", late.is_active() ? late.limit(now) : -1);
+}
+
 } // namespace kumquatgap::gateway
--- a/source/gateway/protocol_adapter.hpp
+++ b/source/gateway/protocol_adapter.hpp
@@ -29,6 +29,9 @@
     std::string last_event_id;
     double prompt_tokens = 0;
     double completion_tokens = 0;
+    /// How many completion tokens the caller expects, which is often far off; 0 when it does not
+    /// say.
+    double length_hint = 0;
     /// Ids of the parts of the prompt, in order. Requests share parts, but the last one belongs to
     /// the request or its session alone.
     std::vector<std::string> prompt_parts;
