Let the priority property test leave out losses that no order can avoid

An outage that is longer than the patience of one class loses its callers whatever the order, so the classes have equal patience in loads with an outage.

--- a/source/unit_tests/policy/fuzz_load_shedding.cpp
+++ b/source/unit_tests/policy/fuzz_load_shedding.cpp
@@ -31,6 +31,13 @@
     }
     if (*rc::gen::arbitrary<bool>())
     {
+        // An outage loses the callers of a class that leave before its end, whatever the order of
+        // calls, so all classes have the same patience and goal here.
+        for (auto& it : out.traffic)
+        {
+            it.goal = replay::s_classes[1].goal;
+            it.patience = replay::s_classes[1].patience;
+        }
         out.down_from = ms{*rc::gen::inRange(4000, 12'000)};
         out.down_to = out.down_from + ms{*rc::gen::inRange(100, 4000)};
         out.resumed = *rc::gen::inRange(0, 400);
@@ -56,7 +63,7 @@
 } // namespace
 
 /// Guards against a class that is starved, or served less often than a less urgent one, in any
-/// load. Latency goals differ between the classes, so the bound holds for the calls as a whole.
+/// load.
 Test(fuzz_load_shedding, priorities_are_not_inverted_and_lengths_not_starved)
 {
     const auto holds = rc::check(
--- a/source/unit_tests/policy/load_replay.hpp
+++ b/source/unit_tests/policy/load_replay.hpp
@@ -55,6 +55,7 @@
 struct pattern
 {
     const char* name;
+    std::array<traffic_class, classes> traffic = s_classes;
     double base_factor = 1;
     std::vector<burst> bursts = {};
     /// No slot is free and all streams are interrupted from then on, if the times differ.
@@ -204,7 +205,7 @@
     {
         for (int p = 0; p < classes; ++p)
         {
-            double per_s = s_classes[std::size_t(p)].per_s * m_pattern.base_factor;
+            double per_s = m_pattern.traffic[std::size_t(p)].per_s * m_pattern.base_factor;
             for (const auto& it : m_pattern.bursts)
             {
                 if (it.priority == p && m_now >= start + it.from && m_now < start + it.to)
@@ -235,9 +236,14 @@
         offer(id);
     }
 
-    static double value_of(const call& it)
+    const traffic_class& class_of(const call& it) const
     {
-        return s_classes[std::size_t(it.priority)].value * std::min(4.0, 0.3 + 0.7 * it.size);
+        return m_pattern.traffic[std::size_t(it.priority)];
+    }
+
+    double value_of(const call& it) const
+    {
+        return class_of(it).value * std::min(4.0, 0.3 + 0.7 * it.size);
     }
 
     std::vector<counts*> counts_of(const call& it)
@@ -255,7 +261,7 @@
     policy::waiting_call entry_of(std::uint64_t id, timestamp since)
     {
         const auto& it = m_calls[id];
-        const auto& c = s_classes[std::size_t(it.priority)];
+        const auto& c = class_of(it);
         const auto deadline = std::min(since + c.patience, it.first_arrived + milliseconds{8000});
         return {.id = id,
                 .priority = it.priority,
@@ -278,7 +284,7 @@
     void refuse(std::uint64_t id, milliseconds after)
     {
         auto& it = m_calls[id];
-        const bool has_waited = m_now - it.offered > s_classes[std::size_t(it.priority)].goal / 2;
+        const bool has_waited = m_now - it.offered > class_of(it).goal / 2;
         for (auto* c : counts_of(it))
             ++(has_waited ? c->late_refused : c->refused);
         const auto left = it.first_arrived + milliseconds{8000} - m_now;
@@ -339,7 +345,7 @@
         m_running.emplace(m_now + milliseconds{int(mean_slot_ms * work)}, id);
         if (std::exchange(it.is_counted, true))
             return;
-        const auto& c = s_classes[std::size_t(it.priority)];
+        const auto& c = class_of(it);
         const bool on_time = m_now + time_to_first_event <= it.first_arrived + c.goal;
         for (auto* out : counts_of(it))
         {
