--- a/source/unit_tests/policy/load_replay_test.cpp
+++ b/source/unit_tests/policy/load_replay_test.cpp
@@ -23,11 +23,14 @@
 
 std::vector<named_options> all_orders()
 {
+    auto half_reserved = value_options(value_order::priority_then_aged_value);
+    half_reserved.late.reserved_part = 0.5;
     return {{"deadline", {}},
             {"priority", value_options(value_order::priority)},
             {"value_per_work", value_options(value_order::value_per_work)},
             {"aged_value_per_work", value_options(value_order::aged_value_per_work)},
-            {"priority_then_aged_value", value_options(value_order::priority_then_aged_value)}};
+            {"priority_then_aged_value", value_options(value_order::priority_then_aged_value)},
+            {"priority_then_aged_value with reserved_part 0.5", half_reserved}};
 }
 
 /// The sum over runs with different arrivals.
