Refuse by prediction after free slots have been used

The prediction assumes that no slot is free, so calls that had waited for a group were refused when it was back. A call without a latency goal counts as on time under the policy `value`. New fields of a request's log line come last.

--- a/source/gateway/call_summary.cpp
+++ b/source/gateway/call_summary.cpp
@@ -41,8 +41,6 @@
                {"route", summary.route},
                {"service", summary.service},
                {"team", summary.team},
-               {"priority", summary.priority},
-               {"late", summary.is_late ? 1 : 0},
                {"code", common::number(summary.code)},
                {"status", summary.status},
                {"attempts", summary.attempts},
@@ -53,7 +51,9 @@
                {"waiting", summary.waiting},
                {"targets", summary.targets},
                {"state", summary.state},
-               {"config", summary.config}},
+               {"config", summary.config},
+               {"priority", summary.priority},
+               {"late", summary.is_late ? 1 : 0}},
               now);
 }
 
--- a/source/gateway/exchange_admission.cpp
+++ b/source/gateway/exchange_admission.cpp
@@ -28,11 +28,14 @@
     const auto leaves_at = m_route->caller_event_timeout.count() == 0
                                ? m_deadline
                                : since + m_route->caller_event_timeout;
+    const auto deadline = std::min(m_deadline, leaves_at) - expected;
+    // A call without a latency goal can't be late. The policy `deadline` ranks it last.
+    const bool has_goal = m_route->goal.count() > 0 || !m_gateway.sheds_by_value();
     return {.id = m_number,
             .priority = m_priority,
             .arrived = since,
-            .in_time_until = since + m_route->goal - expected,
-            .deadline = std::min(m_deadline, leaves_at) - expected,
+            .in_time_until = has_goal ? since + m_route->goal - expected : deadline,
+            .deadline = deadline,
             .is_answered_in_part = m_responder->is_started(),
             .is_certainly_not_executed =
                 m_attempts.is_certainly_not_executed() && !m_responder->is_started() && !m_attempt};
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -336,6 +336,7 @@
         update_admission(name, state, now);
         if (!state.queue.empty())
             dispatch(name);
+        refuse_by_prediction(state, now);
     }
     const auto open = m_exchanges;
     for (const auto& [id, it] : open)
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -77,7 +77,8 @@
     policy::engine_latency_model latency;
     /// This gateway's part of the calls that run at the service's targets; 0 before it is measured.
     double share = 0;
-    /// The most slots that were usable lately; falls slowly.
+    /// The slots that are usable now, and the most that were lately, which falls slowly.
+    double usable_slots = 0;
     double recent_slots = 0;
     /// The route's limit of event gaps of the last call that was sent.
     milliseconds gap_goal{0};
@@ -124,6 +125,11 @@
     }
     /// True when new calls are refused, so that open calls can finish before the process exits.
     bool refuses_calls() const { return m_refuses_calls; }
+    /// True under the admission policy `value`.
+    bool sheds_by_value() const
+    {
+        return m_admission_options.policy == policy::admission_policy::value;
+    }
     /// The limit of the memory for all responses that are being buffered: a fifth of the memory of
     /// the smallest entry host (240 MB).
     static constexpr std::size_t max_buffered_bytes = std::size_t{48} << 20;
@@ -157,9 +163,11 @@
     /// The slots of all usable targets of a service.
     std::size_t slots_of(const std::string& service, timestamp now) const;
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
-    /// Tells the service's queue how many slots this gateway may use, and refuses the calls that
-    /// don't start in time.
+    /// Tells the service's queue how many slots this gateway may use.
     void update_admission(const std::string& name, service_state& state, timestamp now);
+    /// Refuses queued calls that don't start in time. Called after free slots have been used, since
+    /// the prediction assumes that there are none.
+    void refuse_by_prediction(service_state& state, timestamp now);
     void refuse_queued(const std::vector<std::uint64_t>& ids, common::result_code why);
     double slot_share(const std::vector<const fleet::target*>& all, service_state& state,
                       timestamp now) const;
--- a/source/gateway/gateway_admission.cpp
+++ b/source/gateway/gateway_admission.cpp
@@ -51,9 +51,8 @@
 
 void gateway::update_admission(const std::string& name, service_state& state, timestamp now)
 {
-    if (m_admission_options.policy == policy::admission_policy::deadline)
+    if (!sheds_by_value())
         return;
-    refuse_queued(state.queue.take_excess(now), common::result_code::queue_full);
     const auto all = targets().usable(name, now);
     const auto max_streams = state.latency.has_engine()
                                  ? state.latency.max_streams_for_gap(state.gap_goal)
@@ -61,6 +60,7 @@
     double slots = 0;
     for (const auto* it : all)
         slots += std::min(static_cast<double>(it->slots), max_streams);
+    state.usable_slots = slots;
     state.recent_slots = std::max(slots, state.recent_slots * (1 - recent_slots_weight));
     // The former capacity counts until the first target is back: calls that have waited for it must
     // not take all slots.
@@ -68,8 +68,13 @@
         return;
     state.queue.set_capacity(
         {slots * slot_share(all, state, now), state.picker.mean_response_time()});
+}
+
+void gateway::refuse_by_prediction(service_state& state, timestamp now)
+{
+    refuse_queued(state.queue.take_excess(now), common::result_code::queue_full);
     // Targets that come back one by one soon have more slots than now.
-    if (slots < state.recent_slots * min_known_fraction)
+    if (state.usable_slots < state.recent_slots * min_known_fraction)
         return;
     refuse_queued(state.queue.take_unstartable_late(now), common::result_code::late_call_refused);
 }
@@ -86,7 +91,7 @@
 void gateway::write_admission_metrics(const std::string& name, const service_state& state,
                                       timestamp now)
 {
-    if (m_admission_options.policy == policy::admission_policy::deadline)
+    if (!sheds_by_value())
         return;
     const auto set = [&](std::string_view what, double value)
     {
--- a/source/unit_tests/policy/load_replay.hpp
+++ b/source/unit_tests/policy/load_replay.hpp
@@ -143,8 +143,10 @@
                 add_arrivals();
             end_streams();
             if ((m_now - start).count() % 25 == 0)
-                tick();
+                expire();
             dispatch();
+            if ((m_now - start).count() % 25 == 0)
+                refuse_by_prediction();
         }
         return m_result;
     }
@@ -305,18 +307,25 @@
         }
     }
 
-    void tick()
+    void expire()
     {
         for (auto& queue : m_queues)
         {
             for (const auto id : queue.take_expired(m_now))
                 refuse(id, queue.retry_after(m_now, uniform()));
+            if (is_down())
+                queue.halt(std::size_t(total_slots) / m_queues.size());
+        }
+    }
+
+    void refuse_by_prediction()
+    {
+        for (auto& queue : m_queues)
+        {
             for (const auto id : queue.take_unstartable_late(m_now))
                 refuse(id, queue.late_retry_after(uniform()));
             for (const auto id : queue.take_excess(m_now))
                 refuse(id, queue.retry_after(m_now, uniform()));
-            if (is_down())
-                queue.halt(std::size_t(total_slots) / m_queues.size());
         }
     }
 
