--- a/source/core/common/result_code.cpp
+++ b/source/core/common/result_code.cpp
@@ -56,6 +56,8 @@
     {no_permitted_target, "no_permitted_target", 503, not_run,
      "No target of the service is in a region that may serve the call."},
     {memory_full, "memory_full", 503, not_run, "The memory for requests is full."},
+    {late_call_refused, "late_call_refused", 429, not_run,
+     "The call would be late, and calls on time need the targets."},
 
     {outcome_unknown, "outcome_unknown", 504, unknown,
      "The call may have run; its answer was lost."},
--- a/source/core/common/result_code.hpp
+++ b/source/core/common/result_code.hpp
@@ -56,6 +56,7 @@
     data_centre_evacuated = 2015,
     no_permitted_target = 2016,
     memory_full = 2017,
+    late_call_refused = 2018,
 
     outcome_unknown = 3001,
     in_progress = 3002,
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -122,12 +122,14 @@
     /// Why no target may serve the call; none when one may, or may later.
     std::optional<common::result_code> placement_refusal() const;
     /// The Retry-After of a refused call: not before a target accepts calls again.
-    milliseconds retry_after_time() const;
+    milliseconds retry_after_time(common::result_code why) const;
     void handle_disconnect();
     void end(std::string_view event, common::result_code code, int status);
     call_summary summary(std::string_view event, common::result_code code, int status,
                          timestamp now) const;
     policy::waiting_call queue_entry() const;
+    milliseconds predicted_slot_time() const;
+    bool is_late(timestamp now) const;
 
     gateway& m_gateway;
     std::uint64_t m_number;
--- a/source/gateway/exchange_timeouts.cpp
+++ b/source/gateway/exchange_timeouts.cpp
@@ -119,7 +119,7 @@
 {
     const auto excluded = excluded_targets();
     std::vector<std::string> others;
-    for (const auto* it : m_gateway.targets().usable(m_service, now))
+    for (const auto* it : m_gateway.eligibility().eligible(m_service, m_regions, now))
     {
         if (!excluded.contains(it->id))
             others.push_back(it->id);
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -54,6 +54,12 @@
     schema.add("retries", "extra", common::decimal_setting{&s.retries.extra, 0, most});
     schema.add("retries", "window_ms",
                common::duration_setting{&s.retries.window, milliseconds{1}, longest});
+    schema.add("admission", "policy",
+               common::choice_setting{&s.admission_policy, {"deadline", "value"}});
+    constexpr double max_value_ratio = 100;
+    schema.add("admission", "priority_value_ratio",
+               common::decimal_setting{&s.priority_value_ratio, 1, max_value_ratio});
+    schema.add("admission", "reserved_part", common::decimal_setting{&s.reserved_part, 0, 1});
 }
 
 gateway::gateway(io::event_loop& loop, io::http_client& client, kv::store& store,
@@ -84,6 +90,10 @@
     m_crash_guard.on_probe([this](const fleet::target& it) { return may_probe(it, common::now()); },
                            [this](const fleet::target& it, const target_response& head,
                                   timestamp sent_at) { note_cold(it, head, sent_at); });
+    if (m_settings.admission_policy == "value")
+        m_admission_options.policy = policy::admission_policy::value;
+    m_admission_options.value.priority_value_ratio = m_settings.priority_value_ratio;
+    m_admission_options.late.reserved_part = m_settings.reserved_part;
 }
 
 gateway::~gateway() = default;
@@ -207,6 +217,7 @@
         const auto set = [&](std::string_view what, std::int64_t value)
         { m_metrics.set(common::concat(what, "{service=\"", name, "\"}"), value); };
         set("kqg_calls_waiting", static_cast<std::int64_t>(state.queue.size()));
+        write_admission_metrics(name, state, now);
         const auto retries = m_retry_budget.state(name, now);
         set("kqg_retries_in_window", retries.retries);
         set("kqg_retries_left", static_cast<std::int64_t>(retries.left()));
@@ -275,7 +286,7 @@
 
 void gateway::dispatch(const std::string& name)
 {
-    auto& state = m_services[name];
+    auto& state = service(name);
     const auto now = common::now();
     if (holds_calls(now))
         return;
@@ -313,6 +324,7 @@
         if (!it->leave_target(now))
             continue;
         state.queue.started(*id, now);
+        state.gap_goal = it->gap_goal();
         m_crash_guard.record_sent(it->marks(), now);
         m_rate_limiter.record_send(target, now);
         it->send_to(*targets().find_usable(target, now));
@@ -346,8 +358,10 @@
         }
         update_queue_halt(name, state, now);
         update_latency_model(name, state, now);
+        update_admission(name, state, now);
         if (!state.queue.empty())
             dispatch(name);
+        refuse_by_prediction(state, now);
     }
     refuse_unplaceable_calls(now);
     const auto open = m_exchanges;
@@ -394,14 +408,14 @@
     }
 }
 
-double gateway::usual_start_rate(const std::string& service,
-                                 const fleet::permitted_regions& regions, timestamp now)
+double gateway::usual_start_rate(const std::string& name, const fleet::permitted_regions& regions,
+                                 timestamp now)
 {
-    const auto response_time = m_services[service].picker.mean_response_time();
+    const auto response_time = service(name).picker.mean_response_time();
     if (response_time.count() == 0)
         return 0;
     const std::chrono::duration<double> seconds = response_time;
-    return static_cast<double>(m_eligibility.slots(service, regions, now)) / seconds.count() /
+    return static_cast<double>(m_eligibility.slots(name, regions, now)) / seconds.count() /
            static_cast<double>(m_follower.peers().size() + 1);
 }
 
@@ -450,7 +464,7 @@
         for (const auto& [name, it] : c->services)
         {
             if (it.engine)
-                m_services[name].latency.set_engine(*it.engine);
+                service(name).latency.set_engine(*it.engine);
         }
     }
     handle_evacuation_change(common::now());
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -48,6 +48,11 @@
     policy::retry_limits retries;
     /// The regions of the data centres; a target in any other serves no restricted call.
     fleet::region_table regions;
+    /// `deadline` or `value`: a name of policy::admission_policy.
+    std::string admission_policy{"deadline"};
+    /// Parameters of the policy `value`.
+    double priority_value_ratio = 2;
+    double reserved_part = 1;
     /// Time from SIGTERM to SIGKILL.
     milliseconds grace{8000};
 };
@@ -60,7 +65,9 @@
 /// The state that the gateway keeps for each service.
 struct service_state
 {
-    policy::admission_queue queue{policy::admission_queue_options{}};
+    explicit service_state(const policy::admission_queue_options& admission) : queue{admission} {}
+
+    policy::admission_queue queue;
     policy::least_load_picker picker{policy::least_load_picker_options{}};
     /// No call is sent before this time, since the group of targets has a failed member.
     timestamp paused_until;
@@ -72,6 +79,13 @@
     bool is_halted = false;
     policy::stall_detector stalls;
     policy::engine_latency_model latency;
+    /// This gateway's part of the calls that run at the service's targets; 0 before it is measured.
+    double share = 0;
+    /// The slots that are usable now, and the most that were lately, which falls slowly.
+    double usable_slots = 0;
+    double recent_slots = 0;
+    /// The route's limit of event gaps of the last call that was sent.
+    milliseconds gap_goal{0};
 };
 
 /// Accepts callers' requests and forwards them directly to targets.
@@ -118,15 +132,23 @@
     {
         return m_follower.configuration();
     }
-    service_state& service(const std::string& name) { return m_services[name]; }
+    service_state& service(const std::string& name)
+    {
+        return m_services.try_emplace(name, m_admission_options).first->second;
+    }
     /// True when new calls are refused, so that open calls can finish before the process exits.
     bool refuses_calls() const { return m_refuses_calls; }
+    /// True under the admission policy `value`.
+    bool sheds_by_value() const
+    {
+        return m_admission_options.policy == policy::admission_policy::value;
+    }
     /// A random number, at least 0 and less than 1.
     double random() { return std::uniform_real_distribution<double>{0, 1}(m_random); }
     /// The calls of a service that this gateway usually starts per second when all slots are taken,
     /// by the mean response time; 0 before the first response. Only targets that may serve a call
     /// with these permitted regions count.
-    double usual_start_rate(const std::string& service, const fleet::permitted_regions& regions,
+    double usual_start_rate(const std::string& name, const fleet::permitted_regions& regions,
                             timestamp now);
     /// Sends the queued calls of a service for which a target has a free slot.
     void dispatch(const std::string& name);
@@ -139,6 +161,8 @@
     void refuse_unreachable_deadlines(const std::string& name, service_state& state, timestamp now);
     void write_metrics(timestamp now);
     void prepare_servers();
+    void write_admission_metrics(const std::string& name, const service_state& state,
+                                 timestamp now);
     void handle_admin_request(const io::received_request& received, io::responder& responder);
     std::string pick_target(const std::string& name, service_state& state, const exchange& it,
                             timestamp now);
@@ -170,6 +194,14 @@
         return m_eligibility.slots(service, {}, now);
     }
     void update_queue_halt(const std::string& name, service_state& state, timestamp now);
+    /// Tells the service's queue how many slots this gateway may use.
+    void update_admission(const std::string& name, service_state& state, timestamp now);
+    /// Refuses queued calls that don't start in time. Called after free slots have been used, since
+    /// the prediction assumes that there are none.
+    void refuse_by_prediction(service_state& state, timestamp now);
+    void refuse_queued(const std::vector<std::uint64_t>& ids, common::result_code why);
+    double slot_share(const std::vector<const fleet::target*>& all, service_state& state,
+                      timestamp now) const;
     void update_latency_model(const std::string& name, service_state& state, timestamp now);
     void handle_state_change();
     void reload_settings(const std::string& text);
@@ -204,6 +236,7 @@
     common::limited_log m_success_log;
     common::limited_log m_failure_log;
     std::mt19937_64 m_random{std::random_device{}()};
+    policy::admission_queue_options m_admission_options;
     std::map<std::string, service_state> m_services;
     std::map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
     std::uint64_t m_next_exchange = 1;
--- a/source/unit_tests/common/settings_test.cpp
+++ b/source/unit_tests/common/settings_test.cpp
@@ -139,4 +139,14 @@
     cr_assert(first.differences(second).empty());
     b["x"] = "south";
     cr_assert(first.differences(second) == std::vector<std::string>{"process.regions"});
+/// Guards against a misspelt choice that would silently select the default.
+Test(settings, unknown_choice_is_an_error)
+{
+    std::string policy = "deadline";
+    settings_schema schema;
+    schema.add("admission", "policy", choice_setting{&policy, {"deadline", "value"}});
+    cr_assert(schema.read("[admission]\npolicy = value\n").empty());
+    cr_assert(policy == "value");
+    cr_assert_eq(schema.read("[admission]\npolicy = values\n").size(), 1U);
+    cr_assert(schema.read("").empty());
 }
