--- a/source/unit_tests/common/settings_test.cpp
+++ b/source/unit_tests/common/settings_test.cpp
@@ -139,6 +139,8 @@
     cr_assert(first.differences(second).empty());
     b["x"] = "south";
     cr_assert(first.differences(second) == std::vector<std::string>{"process.regions"});
+}
+
 /// Guards against a misspelt choice that would silently select the default.
 Test(settings, unknown_choice_is_an_error)
 {
