--- a/tests/platform/gateway_cold_targets_test.cpp
+++ b/tests/platform/gateway_cold_targets_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <deque>
 
 using namespace kumquatgap;
@@ -258,6 +259,42 @@
     cr_assert_geq((called_at - checked_at).count(), 500);
 }
 
+/// Guards against a gateway that starts, reads the entries of targets that started long ago, and
+/// takes these targets for cold.
+Test(gateway_cold_targets, old_entries_are_not_cold_for_a_gateway_that_starts)
+{
+    gateway_deployment deployment;
+    auto& warm = deployment.add_target("t-0", "plain",
+                                       [](const auto& it, const reply& out)
+                                       { out.write(whole_answer(it, 200, "ok")); });
+    deployment.put_config(deployment.config(5));
+    cr_assert(deployment.wait_ready());
+    const auto put = [&](const char* id, std::chrono::seconds age)
+    {
+        const auto born = std::chrono::floor<common::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch() - age);
+        const nlohmann::json it = {
+            {"service", "plain"}, {"address", warm.address()}, {"zone", "a"},         {"slots", 2},
+            {"state", "ready"},   {"coldRemainingMs", 60'000}, {"born", born.count()}};
+        deployment.store().put(common::concat("servers/", id), it.dump());
+    };
+    put("t-new", std::chrono::seconds{8});
+    put("t-old", std::chrono::seconds{3600});
+    const auto has = [&](std::string_view text)
+    {
+        const auto log = deployment.log();
+        const auto last_start = log.rfind("configuration_in_force");
+        return last_start != std::string::npos && log.find(text, last_start) != std::string::npos;
+    };
+    cr_assert(deployment.wait_until([&] { return has("target_cold target=t-old"); }),
+              "a running gateway takes an entry for new");
+    deployment.restart_gateway(0);
+    cr_assert(deployment.wait_ready());
+    cr_assert(deployment.wait_until([&] { return has("target_learnt target=t-old"); }));
+    cr_assert(has("target_cold target=t-new"));
+    cr_assert(!has("target_cold target=t-old"));
+}
+
 /// Guards against a field of another type that makes the configuration or an entry unreadable.
 Test(gateway_cold_targets, cold_fields_are_read)
 {
