--- a/source/unit_tests/io/http_server_memory_test.cpp
+++ b/source/unit_tests/io/http_server_memory_test.cpp
@@ -39,7 +39,7 @@
         m_address.sin_family = AF_INET;
         m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof m_address;
-        ::bind(fd, reinterpret_cast<const sockaddr*>(&m_address), size);
+        cr_assert_eq(::bind(fd, reinterpret_cast<const sockaddr*>(&m_address), size), 0);
         ::getsockname(fd, reinterpret_cast<sockaddr*>(&m_address), &size);
         ::close(fd);
         cr_assert(m_server.listen("127.0.0.1:" + std::to_string(ntohs(m_address.sin_port))));
