--- a/source/unit_tests/io/memory_budget_test.cpp
+++ b/source/unit_tests/io/memory_budget_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -34,10 +35,12 @@
     bool m_is_closed = false;
 };
 
-std::vector<std::unique_ptr<test_connection>> open_connections(memory_budget& budget, int count)
+std::vector<std::unique_ptr<test_connection>> open_connections(memory_budget& budget,
+                                                               std::size_t count)
 {
     std::vector<std::unique_ptr<test_connection>> out;
-    for (int i = 0; i < count; ++i)
+    out.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
         out.push_back(std::make_unique<test_connection>(budget));
     return out;
 }
