--- a/source/core/fleet/target_eligibility.cpp
+++ b/source/core/fleet/target_eligibility.cpp
@@ -122,16 +122,22 @@
                                                             const permitted_regions& regions,
                                                             timestamp now) const
 {
+    // Only notices name a time.
+    if (!m_targets.has_notices())
+        return std::nullopt;
     std::optional<timestamp> out;
-    for (const auto* it : m_targets.registered(service, now))
-    {
-        const auto why = judge_apart_from_rate(*it, regions, now);
-        if (!why)
-            return std::nullopt;
-        if (const auto from = eligible_from(*why))
-            out = out ? std::min(*out, *from) : *from;
-    }
-    return out;
+    const bool has_eligible =
+        m_targets.any_registered(service, now,
+                                 [&](const target& it)
+                                 {
+                                     const auto why = judge_apart_from_rate(it, regions, now);
+                                     if (!why)
+                                         return true;
+                                     if (const auto from = eligible_from(*why))
+                                         out = out ? std::min(*out, *from) : *from;
+                                     return false;
+                                 });
+    return has_eligible ? std::nullopt : out;
 }
 
 std::optional<common::result_code> target_eligibility::refusal(std::string_view service,
@@ -141,17 +147,20 @@
     if (m_evacuations.empty() && !regions.is_restricted())
         return std::nullopt;
     std::optional<common::result_code> out;
-    for (const auto* it : m_targets.registered(service, now))
-    {
-        const auto why = judge_apart_from_rate(*it, regions, now);
-        if (!why || !is_set_by_operator(*why))
-            return std::nullopt;
-        if (std::holds_alternative<evacuated>(*why))
-            out = common::result_code::data_centre_evacuated;
-        else if (!out)
-            out = common::result_code::no_permitted_target;
-    }
-    return out;
+    const bool may_wait =
+        m_targets.any_registered(service, now,
+                                 [&](const target& it)
+                                 {
+                                     const auto why = judge_apart_from_rate(it, regions, now);
+                                     if (!why || !is_set_by_operator(*why))
+                                         return true;
+                                     if (std::holds_alternative<evacuated>(*why))
+                                         out = common::result_code::data_centre_evacuated;
+                                     else if (!out)
+                                         out = common::result_code::no_permitted_target;
+                                     return false;
+                                 });
+    return may_wait ? std::nullopt : out;
 }
 
 } // namespace kumquatgap::fleet
--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -91,21 +91,6 @@
     return m_notices.note_busy(id, started_at, time, now);
 }
 
-std::optional<timestamp> target_table::all_busy_until(std::string_view service, timestamp now) const
-{
-    std::optional<timestamp> out;
-    for (const auto& [id, r] : m_rows)
-    {
-        if (r.entry.service != service || !is_in_service(r, now))
-            continue;
-        const auto until = m_notices.busy_until(id, now);
-        if (!until)
-            return std::nullopt;
-        out = out ? std::min(*out, *until) : *until;
-    }
-    return out;
-}
-
 bool target_table::owns_address(const target& it) const
 {
     const auto claims = m_claims.find(it.address);
--- a/source/core/fleet/target_table.hpp
+++ b/source/core/fleet/target_table.hpp
@@ -4,6 +4,7 @@
 #include "fleet/target_notices.hpp"
 #include "kv/position.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -99,9 +100,6 @@
     {
         return m_notices.limits_to_broadcast(now);
     }
-    /// The earliest time at which a target of the service accepts calls again, if all targets that
-    /// are in service have asked for no calls; none otherwise.
-    std::optional<timestamp> all_busy_until(std::string_view service, timestamp now) const;
     /// Removes notices that no longer apply.
     void prune(timestamp now);
 
@@ -113,6 +111,18 @@
     /// All targets of a service whose entries are valid and that own their addresses, by id. They
     /// may be draining or busy.
     std::vector<const target*> registered(std::string_view service, timestamp now) const;
+    /// True when `fn` is true for one of these targets; it is not asked for those after that one.
+    template <class Predicate>
+    bool any_registered(std::string_view service, timestamp now, Predicate&& fn) const
+    {
+        return std::ranges::any_of(m_rows,
+                                   [&](const auto& it)
+                                   {
+                                       const row& r = it.second;
+                                       return r.entry.service == service &&
+                                              has_valid_entry(r, now) && fn(r.entry);
+                                   });
+    }
     /// True when any target has said something about itself in a response.
     bool has_notices() const { return !m_notices.empty(); }
     /// True when the target's entry or a notice says that it drains.
--- a/source/unit_tests/common/settings_test.cpp
+++ b/source/unit_tests/common/settings_test.cpp
@@ -120,7 +120,7 @@
     {
         const auto n = std::to_string(i);
         expected.emplace("data-centre-" + n, "region-" + n);
-        text += "data-centre-" + n + ":region-" + n + ",";
+        text.append("data-centre-").append(n).append(":region-").append(n).append(",");
     }
     cr_assert(read_table(text) == expected);
     cr_assert(read_table(text + " ; a comment") == expected);
--- a/source/unit_tests/fleet/target_notices_test.cpp
+++ b/source/unit_tests/fleet/target_notices_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/target_eligibility.hpp"
 #include "fleet/target_table.hpp"
 
 #include <criterion/criterion.h>
@@ -110,17 +111,19 @@
 Test(target_notices, service_busy_until_first_target_accepts_calls)
 {
     target_table it;
+    const evacuations none;
+    const target_eligibility eligibility{it, none, {}};
     auto other = one("b", 50);
     other.address = "10.0.0.2:80";
     it.put(one("a", 50), start);
     it.put(other, start);
     it.note_busy("a", 50, 5 * second, start);
-    cr_assert(!it.all_busy_until("s", start));
+    cr_assert(!eligibility.available_from("s", {}, start));
     it.note_busy("b", 50, 3 * second, start);
-    cr_assert(it.all_busy_until("s", start) == start + 3 * second);
+    cr_assert(eligibility.available_from("s", {}, start) == start + 3 * second);
     it.note_draining("b", 50, notice_source::answer, start);
-    cr_assert(it.all_busy_until("s", start) == start + 5 * second);
-    cr_assert(!it.all_busy_until("other", start));
+    cr_assert(eligibility.available_from("s", {}, start) == start + 5 * second);
+    cr_assert(!eligibility.available_from("other", {}, start));
 }
 
 Test(target_notices, prune_removes_notice_without_entry)
--- a/source/unit_tests/policy/admission_capacity_test.cpp
+++ b/source/unit_tests/policy/admission_capacity_test.cpp
@@ -41,10 +41,12 @@
 /// How many calls are taken before one is refused.
 int calls_taken(admission_queue& queue, timestamp now)
 {
+    constexpr std::uint64_t first = 1000;
     constexpr int enough = 1000;
+    auto id = first;
     for (int i = 0; i < enough; ++i)
     {
-        if (queue.offer(call_at(static_cast<std::uint64_t>(1000 + i), now), now, 0.5))
+        if (queue.offer(call_at(id++, now), now, 0.5))
             return i;
     }
     return enough;
--- a/tests/platform/gateway_evacuation_failures_test.cpp
+++ b/tests/platform/gateway_evacuation_failures_test.cpp
@@ -89,8 +89,10 @@
 
 std::vector<std::shared_ptr<open_call>> begin_calls(gateway_deployment& deployment)
 {
+    constexpr int count = 10;
     std::vector<std::shared_ptr<open_call>> out;
-    for (int i = 0; i < 10; ++i)
+    out.reserve(count);
+    for (int i = 0; i < count; ++i)
         out.push_back(deployment.begin(next_request(deployment)));
     return out;
 }
@@ -141,7 +143,7 @@
         for (int i = 0; i < 4; ++i)
         {
             m_sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-            ::connect(m_sockets.back(), name, sizeof m_socket_address);
+            static_cast<void>(::connect(m_sockets.back(), name, sizeof m_socket_address));
         }
     }
     full_listener(const full_listener&) = delete;
@@ -264,6 +266,7 @@
     it.a.set_script(held.script());
     it.b.set_script(held.script());
     std::vector<std::shared_ptr<open_call>> running;
+    running.reserve(4);
     // Each of the two targets has two slots.
     for (int i = 0; i < 4; ++i)
         running.push_back(it.deployment.begin(next_request(it.deployment, "/act/x")));
