--- a/tests/platform/gateway_deployment.cpp
+++ b/tests/platform/gateway_deployment.cpp
@@ -166,15 +166,25 @@
 }
 
 bool gateway_deployment::is_ready(std::size_t i)
+{
+    return admin_call("/readyz", i).answer.status == 200;
+}
+
+std::string gateway_deployment::metrics(std::size_t i)
+{
+    return admin_call("/metrics", i).answer.body;
+}
+
+outcome gateway_deployment::admin_call(const std::string& path, std::size_t i)
 {
     outcome out;
     const auto handle =
-        m_client.send(m_ready_addresses.at(i), {"GET", "/readyz", {}, {}, {}},
+        m_client.send(m_ready_addresses.at(i), {"GET", path, {}, {}, {}},
                       {.on_end = [&](io::call_outcome how, const io::http_response& a) {
                           out = {true, how, a};
                       }});
     wait_until([&] { return out.ended; });
-    return out.answer.status == 200;
+    return out;
 }
 
 bool gateway_deployment::wait_ready(std::size_t i)
--- a/tests/platform/gateway_deployment.hpp
+++ b/tests/platform/gateway_deployment.hpp
@@ -74,6 +74,8 @@
     /// were added before the configuration.
     bool wait_ready(std::size_t i = 0);
     bool is_ready(std::size_t i = 0);
+    /// The text of a gateway's metrics.
+    std::string metrics(std::size_t i = 0);
 
     /// A request of the tests' team; `path` selects the route.
     io::http_request request(const std::string& path, const std::string& id,
@@ -95,6 +97,7 @@
 
 private:
     void start_gateway(std::size_t i);
+    outcome admin_call(const std::string& path, std::size_t i);
 
     io::event_loop m_loop;
     io::http_client m_client{m_loop};
--- a/tests/platform/gateway_evacuation_test.cpp
+++ b/tests/platform/gateway_evacuation_test.cpp
@@ -4,8 +4,6 @@
 
 #include <criterion/criterion.h>
 
-#include <csignal>
-
 using namespace kumquatgap;
 using namespace kumquatgap::platform_tests;
 using stand_ins::scripted_target;
@@ -111,3 +109,19 @@
     cr_assert_neq(call_once(it.deployment).answer.status, 200);
     cr_assert_eq(it.a.requests().size(), before);
 }
+
+/// An evacuation, the targets that it takes out and the calls that it refuses were not visible.
+Test(gateway_evacuation, metrics_show_evacuation)
+{
+    two_data_centres it;
+    cr_assert_neq(it.deployment.metrics().find("kqg_evacuated_data_centres 0"), std::string::npos);
+    it.evacuate("a");
+    it.cr_assert_all_served_by("t-b");
+    it.evacuate("b");
+    cr_assert_refused(call_once(it.deployment), "2015");
+    const auto text = it.deployment.metrics();
+    for (const char* line :
+         {"kqg_evacuated_data_centres 2", "kqg_evacuation_last_send_ms{data_centre=\"a\"} 0",
+          "kqg_skipped_targets_total{reason=\"evacuated\"} 1", "code=\"2015\"} 1"})
+        cr_assert_neq(text.find(line), std::string::npos, "%s is not in %s", line, text.c_str());
+}
