--- a/source/core/fleet/target_table.cpp
+++ b/source/core/fleet/target_table.cpp
@@ -111,21 +111,6 @@
     return m_notices.note_cold(it.id, {it.started_at, now + left, now}, notice_source::answer);
 }
 
-std::optional<timestamp> target_table::all_busy_until(std::string_view service, timestamp now) const
-{
-    std::optional<timestamp> out;
-    for (const auto& [id, r] : m_rows)
-    {
-        if (r.entry.service != service || !is_in_service(r, now))
-            continue;
-        const auto until = m_notices.busy_until(id, now);
-        if (!until)
-            return std::nullopt;
-        out = out ? std::min(*out, *until) : *until;
-    }
-    return out;
-}
-
 bool target_table::owns_address(const target& it) const
 {
     const auto claims = m_claims.find(it.address);
