--- a/tests/platform/gateway_load_shedding_test.cpp
+++ b/tests/platform/gateway_load_shedding_test.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <iterator>
 #include <list>
 
 using namespace kumquatgap;
@@ -32,10 +33,10 @@
             m_deployment.change_settings("[retries]", "[admission]\npolicy = value\n[retries]");
             m_deployment.restart_gateway(0);
         }
-        m_target =
-            &m_deployment.add_target("t-1", "plain",
-                                     [this](const io::http_request& it, scripted_target::reply out)
-                                     { answer_later(it, out); });
+        m_target = &m_deployment.add_target(
+            "t-1", "plain",
+            [this](const io::http_request& it, const scripted_target::reply& out)
+            { answer_later(it, out); });
         m_deployment.put_config(m_deployment.config(1));
         cr_assert(m_deployment.wait_ready());
         // The gateway has to measure how long a call occupies a slot.
@@ -47,6 +48,7 @@
     std::vector<outcome> call_at_once(int n)
     {
         std::vector<std::shared_ptr<open_call>> calls;
+        calls.reserve(static_cast<std::size_t>(n));
         for (int i = 0; i < n; ++i)
             calls.push_back(
                 m_deployment.begin(m_deployment.request("/read/a", common::concat("call-", i))));
@@ -55,8 +57,8 @@
                 return std::ranges::all_of(calls, [](const auto& it) { return it->result.ended; });
             }));
         std::vector<outcome> out;
-        for (const auto& it : calls)
-            out.push_back(it->result);
+        std::ranges::transform(calls, std::back_inserter(out),
+                               [](const auto& it) { return it->result; });
         return out;
     }
 
