Check permitted regions of a configuration against the settings

A restriction that no data centre meets refuses every call of its route or team, and a route and a team may exclude each other. Regions and cold rates are among the differences to the version in force.

--- a/source/core/config/configuration_check.cpp
+++ b/source/core/config/configuration_check.cpp
@@ -221,11 +221,59 @@
     }
 }
 
+bool has_permitted_data_centre(const fleet::permitted_regions& regions,
+                               const fleet::region_table& table)
+{
+    return !regions.is_restricted() ||
+           std::ranges::any_of(table, [&](const auto& it) { return regions.permits(it.second); });
+}
+
+/// The restrictions of the teams, by name.
+std::map<std::string, fleet::permitted_regions> team_regions(const fleet::configuration& it)
+{
+    std::map<std::string, fleet::permitted_regions> out;
+    for (const auto& [key, team] : it.teams_by_key())
+        out.insert_or_assign(team.name, team.regions);
+    return out;
+}
+
+/// Finds restrictions that no data centre meets, of one entry or of a route and a team together.
+void check_regions(const configuration_listing& it, const gateway_limits& limits, findings& out)
+{
+    if (!limits.regions)
+        return;
+    const auto teams = team_regions(it.effective);
+    for (const auto& [name, regions] : teams)
+    {
+        if (!has_permitted_data_centre(regions, *limits.regions))
+            add_error(out, finding_code::no_permitted_region, concat("tenants ", name),
+                      concat("no data centre lies in the regions ", regions.text()));
+    }
+    for (std::size_t i = 0; i < it.routes.size(); ++i)
+    {
+        const auto& own = it.routes[i].regions;
+        if (!has_permitted_data_centre(own, *limits.regions))
+        {
+            add_error(out, finding_code::no_permitted_region, place_of(it, i),
+                      concat("no data centre lies in the regions ", own.text()));
+            continue;
+        }
+        for (const auto& [name, regions] : teams)
+        {
+            if (has_permitted_data_centre(regions, *limits.regions) &&
+                !has_permitted_data_centre(own.intersected_with(regions), *limits.regions))
+                add_warning(out, finding_code::no_permitted_region, place_of(it, i),
+                            concat("calls of the team ", name, " are refused: its regions are ",
+                                   regions.text(), ", those of the route ", own.text()));
+        }
+    }
+}
+
 using check = void (*)(const configuration_listing&, const gateway_limits&, findings&);
 
 constexpr auto s_checks =
     std::to_array<check>({check_reachability, check_shares, check_times, check_attempts,
-                          check_caller_limits, check_services, check_teams});
+                          check_caller_limits, check_services, check_teams, check_regions});
 
 } // namespace
 
--- a/source/core/config/configuration_check.hpp
+++ b/source/core/config/configuration_check.hpp
@@ -20,6 +20,8 @@
     /// The memory of the smallest host.
     std::optional<std::size_t> memory_bytes = {};
     std::optional<policy::retry_limits> retries = {};
+    /// The regions of all data centres.
+    std::optional<fleet::region_table> regions = {};
 };
 
 /// Checks a gateway configuration before it is written to the store. Which entry is used for a call
--- a/source/core/config/configuration_differences.cpp
+++ b/source/core/config/configuration_differences.cpp
@@ -50,12 +50,15 @@
     {"attempts", [](const fleet::route& it) { return concat(it.max_attempts); }},
     {"public", [](const fleet::route& it) -> std::string { return it.is_public ? "yes" : "no"; }},
     {"services", shares_text},
+    {"permitted regions", [](const fleet::route& it) { return it.regions.text(); }},
 });
 
 constexpr auto s_service_fields = std::to_array<field<fleet::service>>({
     {"health path", [](const fleet::service& it) { return it.health_path; }},
     {"connections of a target",
      [](const fleet::service& it) { return concat(it.max_connections); }},
+    {"requests per second of a cold target",
+     [](const fleet::service& it) { return concat(it.cold_per_second); }},
     {"slots of an engine",
      [](const fleet::service& it) { return it.engine ? concat(it.engine->slots) : "none"; }},
 });
@@ -104,6 +107,7 @@
 struct team_keys
 {
     std::string priority;
+    std::string regions;
     std::set<std::string> keys;
 };
 
@@ -114,6 +118,7 @@
     {
         auto& entry = out[team.name];
         entry.priority = team.priority ? concat(*team.priority) : "the route's";
+        entry.regions = team.regions.text();
         entry.keys.insert(key);
     }
     return out;
@@ -129,7 +134,8 @@
                    const std::map<std::string, team_keys>& to, std::vector<difference>& out)
 {
     constexpr auto fields = std::to_array<field<team_keys>>(
-        {{"priority", [](const team_keys& it) { return it.priority; }}});
+        {{"priority", [](const team_keys& it) { return it.priority; }},
+         {"permitted regions", [](const team_keys& it) { return it.regions; }}});
     compare_entries("tenants", fields, from, to, out);
     for (const auto& [name, before] : from)
     {
--- a/source/core/config/finding.cpp
+++ b/source/core/config/finding.cpp
@@ -11,10 +11,13 @@
 constexpr auto s_severity_names = std::to_array<std::string_view>({"warning", "error"});
 
 constexpr auto s_code_names = std::to_array<std::string_view>(
-    {"malformed", "invalid_resource", "conflict", "duplicate_entry", "duplicate_route",
-     "duplicate_key", "unreachable_route", "unknown_service", "no_service", "zero_share",
-     "out_of_range", "goal_over_timeout", "timeout_over_grace", "limits_over_memory",
-     "retries_over_budget", "covered_rule", "no_target", "no_key", "stale_version"});
+    {"malformed",           "invalid_resource",   "conflict",
+     "duplicate_entry",     "duplicate_route",    "duplicate_key",
+     "unreachable_route",   "unknown_service",    "no_service",
+     "zero_share",          "out_of_range",       "goal_over_timeout",
+     "timeout_over_grace",  "limits_over_memory", "retries_over_budget",
+     "covered_rule",        "no_target",          "no_key",
+     "no_permitted_region", "stale_version"});
 static_assert(s_code_names.size() == static_cast<std::size_t>(finding_code::stale_version) + 1);
 
 } // namespace
--- a/source/core/config/finding.hpp
+++ b/source/core/config/finding.hpp
@@ -57,6 +57,8 @@
     no_target,
     /// A team that no caller can prove to belong to.
     no_key,
+    /// No data centre lies in a region that may serve the calls, so all of them are refused.
+    no_permitted_region,
     /// The version is not newer than the one in force, so gateways keep that one.
     stale_version
 };
--- a/source/core/fleet/regions.cpp
+++ b/source/core/fleet/regions.cpp
@@ -1,5 +1,7 @@
 #include "fleet/regions.hpp"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <iterator>
 
@@ -30,4 +32,9 @@
     return out;
 }
 
+std::string permitted_regions::text() const
+{
+    return m_names ? absl::StrJoin(*m_names, ", ") : "any";
+}
+
 } // namespace kumquatgap::fleet
--- a/source/core/fleet/regions.hpp
+++ b/source/core/fleet/regions.hpp
@@ -28,6 +28,9 @@
     /// The regions that both permit; it may permit none at all.
     permitted_regions intersected_with(const permitted_regions& other) const;
 
+    /// The names, separated by commas; `any` without a restriction.
+    std::string text() const;
+
     bool operator==(const permitted_regions&) const = default;
 
 private:
--- a/tests/platform/gateway_check_test.cpp
+++ b/tests/platform/gateway_check_test.cpp
@@ -49,7 +49,8 @@
 {
     return {.grace = milliseconds{6000},
             .memory_bytes = std::size_t{64} << 20,
-            .retries = policy::retry_limits{.ratio = 0.2, .extra = 20}};
+            .retries = policy::retry_limits{.ratio = 0.2, .extra = 20},
+            .regions = fleet::region_table{{"east-a", "east"}, {"west-a", "west"}}};
 }
 
 ctl::check_report check(const json& file)
@@ -99,6 +100,16 @@
              c["routes"][0]["backends"] = {{{"service", "plain"}, {"weight", 1}},
                                            {{"service", "spare"}, {"weight", 0}}};
          }},
+        {error, finding_code::no_permitted_region, read,
+         [](json& c) { c["routes"][0]["allowedRegions"] = {"north"}; }},
+        {error, finding_code::no_permitted_region, "tenants desk",
+         [](json& c) { c["tenants"][1]["allowedRegions"] = {"north"}; }},
+        {warning, finding_code::no_permitted_region, read,
+         [](json& c)
+         {
+             c["routes"][0]["allowedRegions"] = {"east"};
+             c["tenants"][1]["allowedRegions"] = {"west"};
+         }},
         {error, finding_code::out_of_range, read, [](json& c) { c["routes"][0]["timeoutMs"] = 0; }},
         {error, finding_code::out_of_range, read, [](json& c) { c["routes"][0]["goalMs"] = -1; }},
         {error, finding_code::out_of_range, read,
