--- a/source/core/config/configuration_check.hpp
+++ b/source/core/config/configuration_check.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace kumquatgap::config
@@ -29,7 +30,7 @@
 class configuration_check
 {
 public:
-    explicit configuration_check(gateway_limits limits = {}) : m_limits{limits} {}
+    explicit configuration_check(gateway_limits limits = {}) : m_limits{std::move(limits)} {}
 
     /// All findings, in the order of the checks and of the file.
     std::vector<finding> run(const fleet::configuration_listing& it) const;
