--- a/source/unit_tests/fleet/target_eligibility_test.cpp
+++ b/source/unit_tests/fleet/target_eligibility_test.cpp
@@ -81,6 +81,8 @@
     cr_assert_eq(it.reason("b"), "busy");
     cr_assert_eq(it.reason("c"), "evacuated");
     cr_assert_eq(it.reason("d"), "rate_limited");
+    it.targets.note_cold("t-d", {0, start + busy_time, start}, notice_source::answer);
+    cr_assert_eq(it.reason("d"), "cold");
     cr_assert_eq(it.reason("c", north), "outside_permitted_regions");
     cr_assert_eq(it.reason("d", north), "outside_permitted_regions");
 }
@@ -95,16 +97,16 @@
     cr_assert(skipped == skip_counts{});
     it.put("a", true);
     cr_assert_eq(it.judge.placeable("s", unrestricted, start, skipped).size(), 3);
-    cr_assert(skipped == (skip_counts{1, 0, 0, 0, 0}));
+    cr_assert(skipped == (skip_counts{1, 0, 0, 0, 0, 0}));
     it.targets.note_busy("t-b", 0, busy_time, start);
     it.evacuated.begin("c", start);
     it.over_rate = "t-d";
     skipped = {};
     cr_assert(it.judge.placeable("s", unrestricted, start, skipped).empty());
-    cr_assert(skipped == (skip_counts{1, 1, 1, 1, 0}));
+    cr_assert(skipped == (skip_counts{1, 1, 1, 0, 1, 0}));
     skipped = {};
     cr_assert(it.judge.placeable("s", north, start, skipped).empty());
-    cr_assert(skipped == (skip_counts{1, 1, 0, 0, 2}));
+    cr_assert(skipped == (skip_counts{1, 1, 0, 0, 0, 2}));
 }
 
 /// A notice of a response must count before the entry in the store says the same.
