--- a/review/second/site.cpp
+++ b/review/second/site.cpp
@@ -191,19 +191,29 @@
                           " written and confirmed"));
 }
 
-bool site::is_ready(std::size_t i)
+io::http_response site::admin_call(std::size_t i, const std::string& path)
 {
     bool ended = false;
-    int status = 0;
+    io::http_response out;
     const auto handle =
-        m_client.send(m_ready_addresses.at(i), {"GET", "/readyz", {}, {}, {}},
+        m_client.send(m_ready_addresses.at(i), {"GET", path, {}, {}, {}},
                       {.on_end = [&](io::call_outcome /*how*/, const io::http_response& answer)
                        {
                            ended = true;
-                           status = answer.status;
+                           out = answer;
                        }});
     wait_until([&] { return ended; });
-    return status == 200;
+    return out;
+}
+
+bool site::is_ready(std::size_t i)
+{
+    return admin_call(i, "/readyz").status == 200;
+}
+
+std::string site::metrics(std::size_t i)
+{
+    return admin_call(i, "/metrics").body;
 }
 
 bool site::wait_ready()
--- a/review/second/site.hpp
+++ b/review/second/site.hpp
@@ -74,6 +74,8 @@
     stand_ins::platform_store& store() { return *m_store; }
     failures::process& gateway(std::size_t i) { return *m_gateways.at(i); }
     failures::relay& store_relay(std::size_t i) { return *m_store_relays.at(i); }
+    /// The text of a gateway's metrics.
+    std::string metrics(std::size_t i);
     std::size_t gateways() const { return m_gateways.size(); }
     const std::string& name(std::size_t i) const { return m_names.at(i); }
     const std::string& front(std::size_t i) const { return m_fronts.at(i); }
@@ -108,6 +110,7 @@
 
 private:
     void start_gateway(const std::string& store_address);
+    io::http_response admin_call(std::size_t i, const std::string& path);
 
     io::event_loop m_loop;
     io::http_client m_client{m_loop};
