--- a/review/second/refused_resumption_main.cpp
+++ b/review/second/refused_resumption_main.cpp
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-/// Two model runners run short of memory while their gateway shuts down: one preempts its newest
-/// stream and goes on with it later, the other refuses what comes new and serves what it has.
+/// A model runner runs short of memory while a gateway shuts down, preempts its newest stream and
+/// goes on with it later. The other runner is full: others than the gateways call it too.
 namespace
 {
 
@@ -21,6 +21,9 @@
 constexpr int streams = 16;
 constexpr int events_of_stream = 50;
 constexpr milliseconds event_period{100};
+/// Requests that a runner runs at once, and that wait there.
+constexpr int slots = 12;
+constexpr int waiting_places = 24;
 /// After the first requests.
 constexpr milliseconds term_time{500};
 constexpr milliseconds preemption_after_term{500};
@@ -34,9 +37,9 @@
     verdict run()
     {
         for (const auto* id : {"pool-1", "pool-2"})
-            m_site.add_runner(id, "kumquat-pool",
-                              [this, id](const auto& request, const auto& out)
-                              { stream(id, request, out); });
+            m_second = &m_site.add_runner(id, "kumquat-pool",
+                                          [this, id](const auto& request, const auto& out)
+                                          { stream(id, request, out); });
         m_site.put_config(site::config(1));
         if (!m_site.wait_ready())
             return verdict::could_not_run;
@@ -52,9 +55,11 @@
         m_site.gateway(0).signal(SIGTERM);
         m_site.record("the gateway gets SIGTERM");
         m_site.run_for(preemption_after_term);
-        m_is_short = has_trouble();
         if (has_trouble())
+        {
+            fill_other_runner();
             preempt_newest();
+        }
         m_site.wait_until([&] { return std::ranges::all_of(m_calls, &requester_call::ended); },
                           watched_time);
         return judge();
@@ -74,12 +79,15 @@
                 const scripted_target::reply& out)
     {
         const std::string id{request.headers.find("x-request-id")};
-        if (m_is_short)
+        auto& at = m_held[runner];
+        if (at >= slots + waiting_places)
         {
-            m_site.record(
-                common::concat("runner ", runner, ": refuses ", id, " with 503, not run"));
+            m_site.record(common::concat("runner ", runner, ": is full and refuses ", id,
+                                         " with 503, not run"));
             return out.write(stand_ins::whole_answer(request, 503, "", "X-Not-Executed: 1\r\n"));
         }
+        if (++at > slots)
+            return m_site.record(common::concat("runner ", runner, ": ", id, " waits"));
         m_site.record(common::concat("runner ", runner, ": runs ", id));
         out.write(stand_ins::stream_head(request));
         m_streams.push_back({runner, id, out});
@@ -96,10 +104,25 @@
         if (it.next <= events_of_stream)
             return it.out.write(stand_ins::stream_event(it.next++));
         it.out.write(io::last_chunk);
+        --m_held[it.runner];
         m_site.record(common::concat("runner ", it.runner, ": has ended ", it.id));
         m_site.loop().defer([&it] { it.timer.reset(); });
     }
 
+    /// Other callers take all slots and waiting places of the second runner that are free.
+    void fill_other_runner()
+    {
+        const int free = slots + waiting_places - m_held["pool-2"];
+        for (int i = 1; i <= free; ++i)
+        {
+            const auto id = common::concat("other-", i);
+            auto it = site::request("/draft/other", id, "{}", std::string{deadline_ms});
+            m_others.push_back(m_client.send(m_second->address(), it, {}));
+        }
+        m_site.record(common::concat("others send ", free, " requests to pool-2"));
+        m_site.run_for(milliseconds{50});
+    }
+
     /// The newest stream of the first runner pauses; the runner goes on with it later.
     void preempt_newest()
     {
@@ -137,7 +160,11 @@
     std::vector<call_ptr> m_calls;
     std::list<open_stream> m_streams;
     io::timer_handle m_resumption;
-    bool m_is_short = false;
+    io::http_client m_client{m_site.loop()};
+    std::vector<io::call_handle> m_others;
+    scripted_target* m_second = nullptr;
+    /// The requests that each runner runs or lets wait.
+    std::map<std::string, int> m_held;
 };
 
 } // namespace
--- a/review/second/paused_reader_main.cpp
+++ b/review/second/slow_reader_main.cpp
@@ -32,7 +32,14 @@
 constexpr int runners_of_pool = 3;
 constexpr int events_of_stream = 40;
 constexpr milliseconds event_period{20};
-constexpr milliseconds pause_time{5500};
+/// A slow requester reads so many bytes, about one event, in each such time, for so long. It is
+/// never without an event for the two seconds after which requesters abandon a stream.
+/// The first time it reads the response head as well.
+constexpr std::size_t slow_bytes = 95;
+constexpr std::size_t first_bytes = 300;
+constexpr milliseconds slow_period{800};
+constexpr milliseconds slow_time{6000};
+constexpr std::size_t all_bytes = 4096;
 /// After the SIGTERM; requests that come so early count.
 constexpr milliseconds send_delay{100};
 /// The requesters' deadline and the route's timeout, from the request on.
@@ -71,13 +78,13 @@
         m_site.record(common::concat("requester: ", m_id, " sent"));
     }
 
-    /// Reads what is there.
-    void read()
+    /// Reads what is there, up to a number of bytes.
+    void read(std::size_t most)
     {
         std::array<char, 4096> buf{};
         if (m_is_closed || is_complete())
             return;
-        const auto n = ::recv(m_fd, buf.data(), buf.size(), MSG_DONTWAIT);
+        const auto n = ::recv(m_fd, buf.data(), std::min(most, buf.size()), MSG_DONTWAIT);
         if (n > 0)
             m_text.append(buf.data(), static_cast<std::size_t>(n));
         m_is_closed = n == 0 || (n < 0 && errno != EAGAIN);
@@ -102,7 +109,7 @@
     bool m_is_closed = false;
 };
 
-class paused_reader_case
+class slow_reader_case
 {
 public:
     verdict run()
@@ -121,12 +128,19 @@
         m_site.record("the gateway gets SIGTERM");
         m_site.run_for(send_delay);
         std::ranges::for_each(all, &slow_requester::send);
-        if (has_trouble())
-            m_site.run_for(pause_time);
+        const auto slow_until = m_site.elapsed() + (has_trouble() ? slow_time : milliseconds{0});
+        for (auto most = first_bytes; m_site.elapsed() < slow_until; most = slow_bytes)
+        {
+            m_site.run_for(slow_period);
+            for (auto& it : all)
+                it.read(most);
+            m_site.record("requesters: each has read up to one event");
+        }
         m_site.wait_until(
             [&]
             {
-                std::ranges::for_each(all, &slow_requester::read);
+                for (auto& it : all)
+                    it.read(all_bytes);
                 return std::ranges::all_of(all, [](const auto& it)
                                            { return it.has_ended() || !it.is_in_time(); });
             });
@@ -180,5 +194,5 @@
 
 int main()
 {
-    return run_case([] { return paused_reader_case{}.run(); });
+    return run_case([] { return slow_reader_case{}.run(); });
 }
