Review cases: drop the foreign entry, and renumber the others

The cases of a preempted stream, of slow readers and of a 421 become 7, 8 and 9; their scripts are as before.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Exits with 1 if an answer was lost around the SIGTERM.
+# Exits with 1 if a stream was cut around the SIGTERM.
 # With TROUBLE=0 the driver does the same without the disruption.
 set -uo pipefail
 export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")"
-driver=../../target/review-second/bin/slow_reader
+driver=../../target/review-second/bin/refused_resumption
 for it in "$driver" ../../target/bin/kqg-gateway; do
   [ -x "$it" ] || { echo "$it is not built" >&2; exit 2; }
 done
