--- a/review/second/site.cpp
+++ b/review/second/site.cpp
@@ -54,8 +54,6 @@
     return common::concat(ip, ":", ntohs(own.sin_port));
 }
 
-using replacements = std::vector<std::pair<std::string, std::string>>;
-
 /// Fills in a settings template as the platform does.
 std::string fill_in(std::string text, const replacements& fields)
 {
@@ -295,6 +293,11 @@
     m_record << elapsed().count() << " ms  " << text << std::endl;
 }
 
+std::string filled_template(const std::string& path, const replacements& fields)
+{
+    return fill_in(read_file(path), fields);
+}
+
 std::string make_temp_directory()
 {
     auto name = (std::filesystem::temp_directory_path() / "kqg-review-XXXXXX").string();
--- a/review/second/site.hpp
+++ b/review/second/site.hpp
@@ -18,6 +18,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace kumquatgap::review
@@ -126,6 +127,11 @@
     std::vector<std::unique_ptr<failures::process>> m_gateways;
 };
 
+using replacements = std::vector<std::pair<std::string, std::string>>;
+
+/// A settings template with its fields filled in as the platform does.
+std::string filled_template(const std::string& path, const replacements& fields);
+
 /// A new folder for the files of a case.
 std::string make_temp_directory();
 
