--- a/review/second/late_arm_main.cpp
+++ b/review/second/late_arm_main.cpp
@@ -21,8 +21,9 @@
 using namespace kumquatgap;
 using namespace kumquatgap::review;
 
-/// A group of the sheet.
+/// Two groups of eight ranks, as on the sheet. All happens in the first one.
 constexpr std::size_t ranks = 8;
+constexpr std::size_t machines = 16;
 constexpr milliseconds check_period{5};
 constexpr milliseconds start_limit{25'000};
 constexpr milliseconds switch_limit{3000};
@@ -36,7 +37,7 @@
 constexpr milliseconds down_time{3500};
 /// One rank leaves as many orders to prepare unanswered, so that it copies later than the others.
 constexpr std::size_t slow_rank = 1;
-constexpr int late_prepares = 2;
+constexpr int late_prepares = 3;
 /// The agents of ranks that have copied their experts have told the leader so by then.
 constexpr milliseconds report_time{40};
 constexpr milliseconds kill_after_order{300};
@@ -49,9 +50,11 @@
 public:
     late_arm_case()
         : m_record{"record.txt"}, m_directory{make_temp_directory()},
-          m_store{m_loop, failures::free_address()}, m_ring{m_loop, free_addresses(),
+          m_store{m_loop, failures::free_address()}, m_ring{m_loop, "ring-1", free_addresses(),
                                                             [this](const std::string& text)
-                                                            { record(text); }}
+                                                            { record(text); }},
+          m_other_ring{m_loop, "ring-2", free_addresses(),
+                       [this](const std::string& text) { record(text); }}
     {
         m_store.put(
             "op/config",
@@ -62,7 +65,7 @@
                            R"("experts":)",
                            rank_ring::experts, R"(,"placements":)", rank_ring::places,
                            R"(,"spare":)", rank_ring::spare, "}}]}"));
-        for (std::size_t i = 0; i < ranks; ++i)
+        for (std::size_t i = 0; i < machines; ++i)
             add_agent(i);
     }
     late_arm_case(const late_arm_case&) = delete;
@@ -112,21 +115,21 @@
     {
         m_controls.push_back(failures::free_address());
         m_settings.push_back(common::concat(m_directory, "/side-", i, ".ini"));
-        std::ofstream{m_settings.back()}
-            << filled_template("../../deploy/rank_agent.ini",
-                               {{"{{nodeName}}", common::concat("side-", i)},
-                                {"{{zone}}", "oost-a"},
-                                {"{{limits.memoryMb}}", "128"},
-                                {"{{limits.maxFds}}", "2048"},
-                                {"{{limits.linkMbps}}", "20"},
-                                {"{{platform.address}}", m_store.address()},
-                                {"{{ip}}:{{internalPorts.0}}", m_controls.back()},
-                                {"{{ip}}:9464", failures::free_address()},
-                                {"{{app}}", m_ring.address(i)},
-                                {"{{service}}", "twin-assistant"},
-                                {"{{#bounds.requireFencing}}true{{/bounds.requireFencing}}"
-                                 "{{^bounds.requireFencing}}false{{/bounds.requireFencing}}",
-                                 "true"}});
+        std::ofstream{m_settings.back()} << filled_template(
+            "../../deploy/rank_agent.ini",
+            {{"{{nodeName}}", common::concat("side-", i)},
+             {"{{zone}}", "oost-a"},
+             {"{{limits.memoryMb}}", "128"},
+             {"{{limits.maxFds}}", "2048"},
+             {"{{limits.linkMbps}}", "20"},
+             {"{{platform.address}}", m_store.address()},
+             {"{{ip}}:{{internalPorts.0}}", m_controls.back()},
+             {"{{ip}}:9464", failures::free_address()},
+             {"{{app}}", i < ranks ? m_ring.address(i) : m_other_ring.address(i - ranks)},
+             {"{{service}}", "twin-assistant"},
+             {"{{#bounds.requireFencing}}true{{/bounds.requireFencing}}"
+              "{{^bounds.requireFencing}}false{{/bounds.requireFencing}}",
+              "true"}});
         m_agents.push_back(nullptr);
         if (i != 0)
             start(i);
@@ -146,7 +149,7 @@
     {
         const auto holder = m_store.value("kqg/groups/twin-assistant/ring-1");
         const auto it = std::ranges::find(m_controls, holder);
-        return static_cast<std::size_t>(it - m_controls.begin());
+        return std::min(ranks, static_cast<std::size_t>(it - m_controls.begin()));
     }
 
     /// Shifts the demand and waits for the switch that follows; with trouble, until rank 0, which
@@ -186,6 +189,7 @@
     /// order to arm unanswered, and then the leader is killed.
     bool disturb()
     {
+        m_is_frozen = true;
         const auto stopped_at = common::now();
         m_agents[0]->signal(SIGSTOP);
         m_agents[m_frozen]->signal(SIGSTOP);
@@ -217,7 +221,7 @@
             ++m_late_prepares;
             return order_delay;
         }
-        if (operation != "arm" || rank != m_frozen)
+        if (operation != "arm" || !m_is_frozen || rank != m_frozen)
             return std::nullopt;
         m_has_late_arm = true;
         return order_delay;
@@ -227,8 +231,10 @@
     {
         record(common::concat(m_ring.orders(), " orders, ", m_ring.late_orders(),
                               " of them left unanswered; ", m_ring.passes(), " passes, ",
-                              m_ring.broken_passes(), " of them with two maps"));
-        return m_ring.broken_passes() > 0 ? verdict::broken : verdict::held;
+                              m_ring.broken_passes(), " of them with two maps; in the other group ",
+                              m_other_ring.broken_passes()));
+        return m_ring.broken_passes() + m_other_ring.broken_passes() > 0 ? verdict::broken
+                                                                         : verdict::held;
     }
 
     void record(const std::string& text)
@@ -260,6 +266,7 @@
     io::event_loop m_loop;
     stand_ins::platform_store m_store;
     rank_ring m_ring;
+    rank_ring m_other_ring;
     std::vector<std::string> m_controls;
     std::vector<std::string> m_settings;
     std::vector<std::unique_ptr<failures::process>> m_agents;
@@ -267,6 +274,7 @@
     std::size_t m_leader = ranks;
     std::size_t m_frozen = ranks;
     int m_late_prepares = 0;
+    bool m_is_frozen = false;
     bool m_has_late_arm = false;
     bool m_is_leader_gone = false;
 };
--- a/review/second/rank_ring.cpp
+++ b/review/second/rank_ring.cpp
@@ -30,12 +30,13 @@
     answer.reply({status, {{"Content-Type", "application/json"}}, body.dump()});
 }
 
-int status_of(order_outcome end)
+/// A rank that is ordered to prepare a map begins to copy; other orders are done at once.
+int status_of(order_outcome end, order_kind kind)
 {
     switch (end)
     {
     case order_outcome::accepted:
-        return 200;
+        return kind == order_kind::prepare ? 202 : 200;
     case order_outcome::fenced:
         return 412;
     default:
@@ -45,9 +46,9 @@
 
 } // namespace
 
-rank_ring::rank_ring(io::event_loop& loop, const std::vector<std::string>& addresses,
-                     recorder record)
-    : m_loop{loop}, m_record{std::move(record)}
+rank_ring::rank_ring(io::event_loop& loop, std::string name,
+                     const std::vector<std::string>& addresses, recorder record)
+    : m_loop{loop}, m_name{std::move(name)}, m_record{std::move(record)}
 {
     for (const auto& address : addresses)
     {
@@ -56,7 +57,7 @@
         it->engine.state.rank = static_cast<int>(m_ranks.size());
         it->engine.state.size = static_cast<int>(addresses.size());
         it->engine.restart(1);
-        it->engine.state.group = "ring-1";
+        it->engine.state.group = m_name;
         it->counts.assign(std::size_t{sets} * experts, 0);
         it->server = std::make_unique<io::http_server>(
             loop, io::http_limits{},
@@ -128,7 +129,7 @@
     if (other == m_ranks.end())
         return;
     if (m_broken_passes++ == 0)
-        m_record(common::concat("ranks: pass ", next, " begins with map ",
+        m_record(common::concat(m_name, ": pass ", next, " begins with map ",
                                 first.engine.state.version, " at rank 0 and map ",
                                 (*other)->engine.state.version, " at rank ",
                                 (*other)->engine.state.rank));
@@ -152,7 +153,7 @@
     json out = {
         {"group", {{"name", r.group}, {"epoch", r.epoch}, {"rank", r.rank}, {"state", "open"}}},
         {"size", r.size},
-        {"born", 1},
+        {"born", 1'790'000'000'000},
         {"pace", r.slowdown},
         {"step", r.pass},
         {"map", {{"version", r.version}}},
@@ -259,10 +260,10 @@
                                    const std::string& map, std::string_view how)
 {
     const auto end = apply(it, order, map);
-    m_record(common::concat("rank ", it.engine.state.rank, ": ",
+    m_record(common::concat(m_name, " rank ", it.engine.state.rank, ": ",
                             operations.at(static_cast<std::size_t>(order.kind)), " of version ",
                             order.version, ", step ", order.pass, ", generation ", order.fence,
-                            ": ", how, ", ", status_of(end)));
+                            ": ", how, ", ", status_of(end, order.kind)));
     return end;
 }
 
@@ -284,8 +285,8 @@
     const auto late = m_lateness ? m_lateness(static_cast<std::size_t>(it.engine.state.rank), *name)
                                  : std::nullopt;
     if (!late)
-        return reply(*answer, status_of(carry_out(it, order, map, "answered")));
-    m_record(common::concat("rank ", it.engine.state.rank, ": ", *name, " of version ",
+        return reply(*answer, status_of(carry_out(it, order, map, "answered"), order.kind));
+    m_record(common::concat(m_name, " rank ", it.engine.state.rank, ": ", *name, " of version ",
                             order.version, ", step ", order.pass, ", generation ", order.fence,
                             ": left unanswered, carried out ", late->count(), " ms later"));
     m_late_orders.push_back(m_loop.after(*late, [this, &it, order, map]
--- a/review/second/rank_ring.hpp
+++ b/review/second/rank_ring.hpp
@@ -40,7 +40,8 @@
         std::function<std::optional<milliseconds>(std::size_t rank, std::string_view operation)>;
     using recorder = std::function<void(const std::string&)>;
 
-    rank_ring(io::event_loop& loop, const std::vector<std::string>& addresses, recorder record);
+    rank_ring(io::event_loop& loop, std::string name, const std::vector<std::string>& addresses,
+              recorder record);
     rank_ring(const rank_ring&) = delete;
     rank_ring& operator=(const rank_ring&) = delete;
     ~rank_ring();
@@ -97,6 +98,7 @@
     void begin_pass();
 
     io::event_loop& m_loop;
+    std::string m_name;
     recorder m_record;
     lateness m_lateness;
     std::vector<std::unique_ptr<rank>> m_ranks;
