Gateways that lose their watchers turn to the store within apply_ms

Evidence: with a log line at each read of the store, a gateway at place 8 shows store_read contact_age_ms=7678 and the new version 1 ms later; no failed read and no small age before that, so reads that fail and old word that looks new are ruled out for this case.

A process that does not watch asks a watcher for a confirmation, which counts from the request, within one era, and only for a replica that lacks no change; without one it watches the store from its own revision after half to three quarters of the bound. Watchers on which others depend have the store's answer each quarter of it. This works because the age of what is believed can't be understated, and each process acts on it alone.

--- a/bench/spread_bench.cpp
+++ b/bench/spread_bench.cpp
@@ -101,6 +101,7 @@
         {
             if (m_watching[i])
                 carry_out(i, m_processes[i].store_changed({m_revision - 1, m_revision, {c}},
+                                                          m_now + store_latency,
                                                           m_now + store_latency));
         }
         m_all_have_it_at.reset();
--- a/source/api/api.cpp
+++ b/source/api/api.cpp
@@ -288,7 +288,7 @@
     const auto remove_watch = [this, it] { m_loop.defer([this, it] { m_watches.erase(it); }); };
     it->store_watch = m_store.start_watch(
         config::key_of(k, ""), {m_store.current_era(), version + 1},
-        {[k, responder](auto, const auto& changes)
+        {[k, responder](auto, const auto& changes, auto)
          {
              for (const auto& change : changes)
                  responder->write(to_line(k, change));
--- a/source/core/common/settings.cpp
+++ b/source/core/common/settings.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <cstring>
 #include <optional>
 #include <set>
@@ -201,6 +202,28 @@
     return 1;
 }
 
+/// The environment variable that sets a key, such as KQG_STORE_APPLY_MS.
+std::string variable_name(const std::pair<std::string, std::string>& id)
+{
+    return absl::AsciiStrToUpper(common::concat("KQG_", id.first, "_", id.second));
+}
+
+/// Sets the keys that the environment names. They go before the file's.
+void read_environment(read_state& state)
+{
+    for (const auto& [id, s] : state.known)
+    {
+        const auto name = variable_name(id);
+        const char* value = std::getenv(name.c_str());
+        if (value == nullptr)
+            continue;
+        state.seen.insert(id);
+        const auto text = std::visit(value_parser{value}, s);
+        if (!text.empty())
+            state.errors.push_back({0, common::concat(name, ": ", text)});
+    }
+}
+
 } // namespace
 
 void settings_schema::add(std::string section, std::string key, setting s)
@@ -214,6 +237,7 @@
     const int first_bad_line = ini_parse_stream(next_line, &state, handle_value, &state);
     if (first_bad_line > 0)
         state.errors.push_back({first_bad_line, "is neither a section, a key nor a comment"});
+    read_environment(state);
     for (const auto& [id, s] : m_settings)
     {
         if (!state.seen.contains(id) && std::visit(is_missing{}, s))
--- a/source/core/common/settings.hpp
+++ b/source/core/common/settings.hpp
@@ -91,7 +91,8 @@
     /// Declares a key of a section. The target keeps its value when the file does not set the key.
     void add(std::string section, std::string key, setting s);
 
-    /// Reads INI text. The targets must not be used when the returned list is not empty.
+    /// Reads INI text and then the environment: a variable `KQG_SECTION_KEY` goes before the text's
+    /// value of that key. The targets must not be used when the returned list is not empty.
     std::vector<settings_error> read(std::string_view text) const;
 
     /// The keys, as `section.key`, whose values differ from those of another schema with the same
--- a/source/core/kv/etcd_store.cpp
+++ b/source/core/kv/etcd_store.cpp
@@ -461,7 +461,7 @@
         const auto as_of = changes.value().empty()
                                ? read_integer(report.value("header", json::object()), "revision")
                                : changes.value().back().mod_revision;
-        m_events.on_changes(as_of, std::move(changes.value()));
+        m_events.on_changes(as_of, std::move(changes.value()), common::now());
     }
 
     void end(failure why)
--- a/source/core/kv/store.hpp
+++ b/source/core/kv/store.hpp
@@ -97,7 +97,9 @@
 /// was started; it ends when the store is restored.
 struct watch_events
 {
-    std::function<void(revision as_of, std::vector<change>)> on_changes;
+    /// `confirmed_at` is a time at which the store had no changes after `as_of`.
+    std::function<void(revision as_of, std::vector<change>, common::timestamp confirmed_at)>
+        on_changes;
     std::function<void(common::failure)> on_end;
 };
 
@@ -109,6 +111,10 @@
     watch(const watch&) = delete;
     watch& operator=(const watch&) = delete;
     virtual ~watch() = default;
+
+    /// Sets how often the store must respond while it has no changes, from its next response on.
+    /// Has no effect on a watch that the store does not respond to without changes.
+    virtual void confirm_every(common::milliseconds /*period*/) {}
 };
 
 template <class T>
--- a/source/core/membership/gossip_node.cpp
+++ b/source/core/membership/gossip_node.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace kumquatgap::membership
 {
@@ -10,6 +11,7 @@
 namespace
 {
 
+/// A digest names this many live watchers.
 constexpr std::size_t max_reported_watchers = 3;
 
 } // namespace
@@ -38,6 +40,8 @@
     { return std::ranges::find(m_takeover_order, it.first) == m_takeover_order.end(); };
     std::erase_if(m_peer_positions, is_unknown);
     std::erase_if(m_last_sent, is_unknown);
+    std::erase_if(m_unanswered, [this](const auto& it)
+                  { return std::ranges::find(m_takeover_order, it) == m_takeover_order.end(); });
 }
 
 std::size_t gossip_node::takeover_position() const
@@ -46,13 +50,17 @@
     return static_cast<std::size_t>(it - m_takeover_order.begin());
 }
 
-milliseconds gossip_node::store_contact_age(timestamp now) const
+std::size_t gossip_node::watcher_count() const
 {
-    // Until the first contact with the store, the time since the start counts.
-    auto last_contact = m_started_at;
-    for (const auto& [name, it] : m_watchers)
-        last_contact = std::max(last_contact, it.last_contact_at);
-    return now - last_contact;
+    const auto per_watcher = m_options.processes_per_watcher;
+    const auto needed =
+        per_watcher == 0 ? 0 : (m_takeover_order.size() + per_watcher - 1) / per_watcher;
+    return std::max(m_options.watchers, needed);
+}
+
+milliseconds gossip_node::unconfirmed_time(timestamp now) const
+{
+    return now - std::max(m_confirmed_at, m_started_at);
 }
 
 std::size_t gossip_node::live_watchers_ahead(timestamp now) const
@@ -62,26 +70,23 @@
     for (std::size_t i = 0; i < own_position; ++i)
     {
         const auto it = m_watchers.find(m_takeover_order[i]);
-        n += it != m_watchers.end() && now - it->second.last_contact_at < m_options.watcher_timeout
-                 ? 1
-                 : 0;
+        n +=
+            it != m_watchers.end() && now - it->second.last_contact_at < m_options.max_unconfirmed()
+                ? 1
+                : 0;
     }
     return n;
 }
 
-/// A process watches when too few of those before it in the takeover order do. The later its
-/// position, the longer it waits, so that one process and not all of them replaces a failed
-/// watcher.
-bool gossip_node::should_watch(timestamp now) const
+/// A process that gets no confirmation from others turns to the store. The later its position, the
+/// later it does, within a fixed time: some of the processes before it may have failed too.
+bool gossip_node::should_take_over(timestamp now) const
 {
-    const auto own_position = takeover_position();
-    if (own_position < m_options.watchers)
-        return true;
-    const auto takeover_delay =
-        m_options.watcher_timeout +
-        m_options.takeover_delay_step *
-            static_cast<std::int64_t>(own_position - m_options.watchers + 1);
-    return store_contact_age(now) > takeover_delay;
+    const auto others = m_takeover_order.size() - watcher_count();
+    const auto place = takeover_position() - watcher_count() + 1;
+    const auto delay = m_options.takeover_window() * static_cast<std::int64_t>(place) /
+                       static_cast<std::int64_t>(others);
+    return unconfirmed_time(now) > m_options.max_unconfirmed() + delay;
 }
 
 actions gossip_node::begin(timestamp now)
@@ -97,29 +102,113 @@
     if (m_reading || m_watching || now < m_next_read_at)
         return;
     m_reading = true;
+    m_read_started_at = now;
+    delay_next_attempt(now);
+    out.emplace_back(read_store{});
+}
+
+/// Starts to watch from the replica's revision. A read of all keys would cost the store more, and
+/// many processes may take over at once.
+void gossip_node::take_over(actions& out, timestamp now)
+{
+    if (m_reading || now < m_next_read_at)
+        return;
+    m_watching = true;
+    delay_next_attempt(now);
+    out.emplace_back(start_watch{});
+}
+
+void gossip_node::delay_next_attempt(timestamp now)
+{
     // Random jitter keeps processes that failed at the same time from retrying at the same time.
     std::uniform_int_distribution<std::int64_t> jitter{m_read_backoff.count() / 2,
                                                        m_read_backoff.count()};
     m_next_read_at = now + milliseconds{jitter(m_random)};
     m_read_backoff = std::min(m_read_backoff * 2, m_options.max_read_backoff);
-    out.emplace_back(read_store{});
 }
 
 actions gossip_node::tick(timestamp now)
 {
     actions out;
-    send_digest_to_random_peers(out, m_options.digest_peers, now);
-    if (m_watching && live_watchers_ahead(now) >= m_options.watchers)
+    if (now >= m_next_digest_at)
     {
-        m_watching = false;
-        m_watchers.erase(m_self.name);
-        out.emplace_back(stop_watch{});
+        m_next_digest_at = now + m_options.period;
+        send_digest_to_random_peers(out, m_options.digest_peers, now);
     }
-    if (!m_watching && (!m_replica.is_ready() || should_watch(now)))
+    const bool is_regular = is_regular_watcher();
+    const auto enough_watchers = std::min(m_options.watchers, max_reported_watchers);
+    if (m_watching && !is_regular && live_watchers_ahead(now) >= enough_watchers)
+        end_watch(out);
+    if (!is_regular && needs_confirmation(now))
+        request_confirmation(out, now);
+    if (m_watching)
+        return out;
+    if (!m_replica.is_ready() || is_regular)
         start_read(out, now);
+    else if (should_take_over(now))
+        take_over(out, now);
+    return out;
+}
+
+/// A process that has taken over also asks, to learn when others watch again.
+bool gossip_node::needs_confirmation(timestamp now) const
+{
+    return m_replica.is_ready() && (m_watching || unconfirmed_time(now) >= m_options.request_age());
+}
+
+/// The peers that may watch the store and are not known to be silent; any other peers if there are
+/// none.
+std::vector<peer> gossip_node::confirmation_sources(timestamp now) const
+{
+    const auto is_silent = [this](const peer& it) { return m_unanswered.contains(it.name); };
+    const auto may_watch = [&](const peer& it)
+    {
+        const auto regular_end =
+            m_takeover_order.begin() +
+            static_cast<std::ptrdiff_t>(std::min(watcher_count(), m_takeover_order.size()));
+        if (std::find(m_takeover_order.begin(), regular_end, it.name) != regular_end)
+            return true;
+        const auto found = m_watchers.find(it.name);
+        return found != m_watchers.end() &&
+               now - found->second.last_contact_at < m_options.max_unconfirmed();
+    };
+    std::vector<peer> out;
+    std::ranges::copy_if(m_peers, std::back_inserter(out),
+                         [&](const peer& it) { return !is_silent(it) && may_watch(it); });
+    if (out.empty())
+        std::ranges::copy_if(m_peers, std::back_inserter(out), std::not_fn(is_silent));
     return out;
 }
 
+void gossip_node::request_confirmation(actions& out, timestamp now)
+{
+    auto sources = confirmation_sources(now);
+    if (sources.empty())
+    {
+        m_unanswered.clear();
+        sources = m_peers;
+    }
+    if (sources.empty())
+        return;
+    std::uniform_int_distribution<std::size_t> any{0, sources.size() - 1};
+    const auto& it = sources[any(m_random)];
+    m_unanswered.insert(it.name);
+    auto request = own_digest(now);
+    request.asked_at = now.time_since_epoch().count();
+    out.emplace_back(send_message{it.address, std::move(request)});
+}
+
+/// The age of the answer counts from the request, since messages may be delayed for any time. It
+/// holds for this replica if that has all changes of the sender's.
+void gossip_node::record_confirmation(const digest& answer, timestamp now)
+{
+    const timestamp asked_at{milliseconds{answer.answer_to}};
+    const bool is_valid = asked_at <= now && answer.unconfirmed_time >= milliseconds{0};
+    if (is_valid && m_replica.is_ready() && answer.in_era == m_replica.era() &&
+        m_replica.last_change() >= answer.last_change)
+        m_confirmed_at = std::max(m_confirmed_at, asked_at - answer.unconfirmed_time);
+}
+
 actions gossip_node::read_finished(const kv::range_response& response, timestamp now)
 {
     m_reading = false;
@@ -132,12 +221,13 @@
         return out;
     }
     m_read_backoff = m_options.initial_read_backoff;
+    m_confirmed_at = std::max(m_confirmed_at, m_read_started_at);
     if (m_replica.version() != before)
         announce_change(out, now);
-    if (!should_watch(now))
+    if (!is_regular_watcher())
         return out;
     m_watching = true;
-    store_responded(now);
+    m_watchers[m_self.name].last_contact_at = now;
     out.emplace_back(start_watch{});
     return out;
 }
@@ -149,21 +239,30 @@
     return m_replica.update(s);
 }
 
-actions gossip_node::store_failed(timestamp now)
+actions gossip_node::store_failed(timestamp now, store_failure why)
 {
     m_reading = false;
     actions out;
-    restart_watch(out, now);
+    if (is_regular_watcher() || why == store_failure::history_lost)
+        restart_watch(out, now);
+    else if (m_watching)
+        end_watch(out);
     return out;
 }
 
-/// Replaces the watch, if there is one, after a read of all keys.
-void gossip_node::restart_watch(actions& out, timestamp now)
+void gossip_node::end_watch(actions& out)
 {
-    if (!std::exchange(m_watching, false))
-        return;
+    m_watching = false;
     m_watchers.erase(m_self.name);
     out.emplace_back(stop_watch{});
+}
+
+/// Ends the watch, if there is one, and reads all keys.
+void gossip_node::restart_watch(actions& out, timestamp now)
+{
+    if (!m_watching)
+        return;
+    end_watch(out);
     start_read(out, now);
 }
 
@@ -174,35 +273,46 @@
     return out;
 }
 
-actions gossip_node::store_changed(const config::delta& d, timestamp now)
+actions gossip_node::store_changed(const config::delta& d, timestamp now, timestamp confirmed_at)
 {
-    store_responded(now);
     actions out;
     const auto before = m_replica.version();
     m_replica.update(d);
+    if (d.in_era == m_replica.era() && d.to <= m_replica.as_of())
+        store_responded(confirmed_at);
     if (m_replica.version() != before)
         announce_change(out, now);
     return out;
 }
 
-void gossip_node::store_responded(timestamp now)
+void gossip_node::store_responded(timestamp confirmed_at)
 {
-    if (m_watching)
-        m_watchers[m_self.name].last_contact_at = now;
+    if (!m_watching)
+        return;
+    m_read_backoff = m_options.initial_read_backoff;
+    m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+    m_watchers[m_self.name].last_contact_at = confirmed_at;
 }
 
 digest gossip_node::own_digest(timestamp now) const
 {
     digest out{m_self.name, m_self.address, m_replica.as_of(), m_replica.last_change(),
                {},          m_replica.era()};
-    for (const auto& name : m_takeover_order)
+    const auto report = [&](const std::string& name)
     {
         const auto it = m_watchers.find(name);
         if (it == m_watchers.end() || out.watchers.size() >= max_reported_watchers)
-            continue;
+            return;
         const auto age = now - it->second.last_contact_at;
-        if (age < m_options.watcher_timeout)
+        if (age < m_options.max_unconfirmed())
             out.watchers.push_back({name, age});
+    };
+    // First this process, which knows its own contact best.
+    report(m_self.name);
+    for (const auto& name : m_takeover_order)
+    {
+        if (name != m_self.name)
+            report(name);
     }
     return out;
 }
@@ -217,7 +327,7 @@
         last_contact = std::max(last_contact, now - it.age);
     }
     std::erase_if(m_watchers, [&](const auto& it)
-                  { return now - it.second.last_contact_at > m_options.watcher_timeout * 4; });
+                  { return now - it.second.last_contact_at > m_options.max_unconfirmed() * 4; });
 }
 
 void gossip_node::send_digest_to_random_peers(actions& out, std::size_t count, timestamp now)
@@ -252,6 +362,9 @@
     if (const auto* d = std::get_if<digest>(&m))
     {
         update_watchers(*d, now);
+        m_unanswered.erase(d->name);
+        if (d->answer_to != 0)
+            record_confirmation(*d, now);
         auto& position = m_peer_positions[d->name];
         position = std::max(position, d->position());
         return respond(*d, now);
@@ -272,16 +385,6 @@
     return out;
 }
 
-/// True when the sender's information about the watchers is so old that it might soon count them as
-/// failed.
-bool gossip_node::has_outdated_watchers(const digest& d, timestamp now) const
-{
-    auto age = milliseconds::max();
-    for (const auto& it : d.watchers)
-        age = std::min(age, it.age);
-    return store_contact_age(now) + m_options.watcher_timeout / 4 < age;
-}
-
 actions gossip_node::respond(const digest& d, timestamp now)
 {
     actions out;
@@ -289,11 +392,19 @@
     const kv::position peers_last_change{d.in_era, d.last_change};
     const bool is_behind = d.position() > m_replica.position() && peers_last_change > last_change;
     const bool is_ahead = d.position() < m_replica.position() && peers_last_change < last_change;
-    // With this digest the sender can send the missing changes, or update its list of watchers.
-    if (is_behind || has_outdated_watchers(d, now))
-        out.emplace_back(send_message{d.address, own_digest(now)});
+    // Before the answer, which holds for a replica that has them.
     if (is_ahead)
         send_missing_changes(out, d, now);
+    if (d.asked_at != 0)
+    {
+        auto answer = own_digest(now);
+        answer.answer_to = d.asked_at;
+        answer.unconfirmed_time = unconfirmed_time(now);
+        out.emplace_back(send_message{d.address, std::move(answer)});
+    }
+    // With this digest the sender can send the missing changes.
+    else if (is_behind)
+        out.emplace_back(send_message{d.address, own_digest(now)});
     return out;
 }
 
--- a/source/core/membership/message.cpp
+++ b/source/core/membership/message.cpp
@@ -17,13 +17,21 @@
     json watchers = json::array();
     for (const auto& it : m.watchers)
         watchers.push_back({it.name, it.age.count()});
-    return {{"type", "digest"},
-            {"name", m.name},
-            {"address", m.address},
-            {"as_of", m.as_of},
-            {"last_change", m.last_change},
-            {"watchers", std::move(watchers)},
-            {"era", m.in_era}};
+    json out{{"type", "digest"},
+             {"name", m.name},
+             {"address", m.address},
+             {"as_of", m.as_of},
+             {"last_change", m.last_change},
+             {"watchers", std::move(watchers)},
+             {"era", m.in_era}};
+    if (m.asked_at != 0)
+        out["asked_at"] = m.asked_at;
+    if (m.answer_to != 0)
+    {
+        out["answer_to"] = m.answer_to;
+        out["unconfirmed_ms"] = m.unconfirmed_time.count();
+    }
+    return out;
 }
 
 json to_json(const delta_message& m)
@@ -55,6 +63,10 @@
     for (const auto& it : in.at("watchers"))
         out.watchers.push_back({it.at(0), common::milliseconds{it.at(1).get<std::int64_t>()}});
     out.in_era = in.value("era", default_era);
+    out.asked_at = in.value("asked_at", std::int64_t{0});
+    out.answer_to = in.value("answer_to", std::int64_t{0});
+    if (out.answer_to != 0)
+        out.unconfirmed_time = common::milliseconds{in.at("unconfirmed_ms").get<std::int64_t>()};
     return out;
 }
 
--- a/source/core/membership/message.hpp
+++ b/source/core/membership/message.hpp
@@ -29,6 +29,14 @@
     kv::revision last_change = 0;
     std::vector<watcher> watchers;
     kv::era in_era = 0;
+    /// The sender's clock when it asks for a confirmation of its replica, in ms; 0 when it does
+    /// not.
+    std::int64_t asked_at = 0;
+    /// In the answer: `asked_at` of the request.
+    std::int64_t answer_to = 0;
+    /// In the answer: the time since the sender's replica had all changes that the store had
+    /// confirmed.
+    common::milliseconds unconfirmed_time{0};
 
     kv::position position() const { return {in_era, as_of}; }
 };
--- a/source/core/shell/config_follower.cpp
+++ b/source/core/shell/config_follower.cpp
@@ -35,6 +35,13 @@
     return out;
 }
 
+membership::gossip_options make_gossip_options(const common_settings& settings)
+{
+    membership::gossip_options out;
+    out.apply_time = settings.apply_time;
+    return out;
+}
+
 std::string to_status(const membership::propagation_report& report)
 {
     auto listed = report.behind;
@@ -52,7 +59,7 @@
                                  const common_settings& settings)
     : m_loop{loop}, m_store{source}, m_settings{settings}, m_gossip{{settings.host,
                                                                      settings.control_address},
-                                                                    membership::gossip_options{},
+                                                                    make_gossip_options(settings),
                                                                     std::random_device{}()},
       m_bus{loop, [this](std::string_view bytes) { receive(bytes); }}, m_seeds{parse_seeds(
                                                                            settings.control_seeds)}
@@ -68,7 +75,7 @@
         return false;
     }
     update_peers();
-    m_tick_timer = m_loop.every(membership::gossip_options{}.period,
+    m_tick_timer = m_loop.every(m_gossip.options().tick_period(),
                                 [this] { execute_actions(m_gossip.tick(common::now())); });
     m_head_timer = m_loop.every(head_check_period, [this] { check_head(); });
     m_status_timer = m_loop.every(status_period, [this] { write_status(); });
@@ -129,10 +136,10 @@
                 {{"revision", replica().as_of()}, {"era", era}});
     m_watch = m_store.start_watch(
         std::string{config::replicated_prefix}, {era, replica().as_of() + 1},
-        {[this, era](auto as_of, auto changes)
+        {[this, era](auto as_of, auto changes, auto confirmed_at)
          {
              execute_actions(m_gossip.store_changed(
-                 {replica().as_of(), as_of, std::move(changes), era}, common::now()));
+                 {replica().as_of(), as_of, std::move(changes), era}, common::now(), confirmed_at));
          },
          [this](const failure& why) { on_watch_lost(why); }});
 }
@@ -165,7 +172,7 @@
         return;
     common::log(common::log_level::warn, "watch_lost",
                 {{"code", common::number(why.code)}, {"detail", why.detail}});
-    execute_actions(m_gossip.store_failed(common::now()));
+    execute_actions(m_gossip.store_failed(common::now(), membership::failure_of_watch(why.code)));
 }
 
 /// A watch whose connection no longer delivers anything can't be distinguished from a watch without
@@ -176,7 +183,7 @@
     if (!m_gossip.is_watching())
         return;
     m_store.get(std::string{config::head_key},
-                [this](const auto& response)
+                [this, asked_at = common::now()](const auto& response)
                 {
                     if (!m_gossip.is_watching())
                         return;
@@ -184,9 +191,9 @@
                         return on_watch_lost(response.error());
                     const auto head = response.value() ? response.value()->mod_revision : 0;
                     if (head > replica().as_of())
-                        return on_watch_lost({common::result_code::store_unavailable,
+                        return on_watch_lost({common::result_code::compacted,
                                               "the watch stopped delivering changes"});
-                    m_gossip.store_responded(common::now());
+                    m_gossip.store_responded(asked_at);
                 });
 }
 
--- a/source/core/shell/program.cpp
+++ b/source/core/shell/program.cpp
@@ -33,6 +33,8 @@
 
 constexpr std::string_view s_version = "0.1.0";
 constexpr common::milliseconds max_store_timeout{60'000};
+constexpr common::milliseconds min_apply_time{400};
+constexpr common::milliseconds max_apply_time{600'000};
 /// Upper bounds of the settings that describe the host: 1 TiB and the kernel's default fs.nr_open.
 constexpr std::int64_t max_memory_mb = 1 << 20;
 constexpr std::int64_t max_descriptors = 1 << 20;
@@ -95,6 +97,8 @@
     schema.add(
         "store", "timeout_ms",
         common::duration_setting{&s.store_timeout, common::milliseconds{1}, max_store_timeout});
+    schema.add("store", "apply_ms",
+               common::duration_setting{&s.apply_time, min_apply_time, max_apply_time});
 }
 
 void ignore_early_signals()
--- a/source/core/shell/program.hpp
+++ b/source/core/shell/program.hpp
@@ -27,6 +27,9 @@
     std::string log_level = "info";
     std::string store_address;
     common::milliseconds store_timeout{2000};
+    /// A change in the store must be in effect this long after the store has confirmed it. The time
+    /// for which a process relies on others to pass changes on follows from it.
+    common::milliseconds apply_time{15'000};
     /// Authenticates the system's own processes to each other.
     std::string deployment_token;
     /// `ip:port` for messages between the system's own processes; if empty, the process watches
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -138,7 +138,9 @@
     m_tick_timer = m_loop.every(tick_period, [this] { tick(); });
     m_store_calls_timer =
         m_loop.every(store_calls_log_period, [this] { m_store.counts().log_totals(); });
-    common::log(common::log_level::info, "started", {{"address", m_settings.listen}});
+    common::log(
+        common::log_level::info, "started",
+        {{"address", m_settings.listen}, {"apply_ms", m_settings.common.apply_time.count()}});
     m_loop.run();
     common::log(common::log_level::info, "stopped",
                 {{"open_calls", static_cast<std::int64_t>(m_exchanges.size())}});
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -38,6 +38,11 @@
 /// The gateway's settings.
 struct gateway_settings
 {
+    /// The strictest bound of the known installations is the default.
+    static constexpr milliseconds default_apply_time{2000};
+
+    gateway_settings() { common.apply_time = default_apply_time; }
+
     shell::common_settings common;
     /// `ip:port` for callers.
     std::string listen;
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -20,11 +20,13 @@
 /// restored.
 constexpr milliseconds rewrite_grace{2000};
 
-membership::gossip_options make_gossip_options()
+membership::gossip_options make_gossip_options(milliseconds apply_time)
 {
     membership::gossip_options out;
     // Up to this many gateways all watch the store, so that each detects an outage itself.
     out.watchers = 8;
+    out.processes_per_watcher = 16;
+    out.apply_time = apply_time;
     out.period = milliseconds{500};
     out.initial_read_backoff = milliseconds{200};
     out.max_read_backoff = milliseconds{1500};
@@ -40,7 +42,7 @@
                                const shell::common_settings& settings)
     : m_loop{loop}, m_store{source}, m_adapter{adapter},
       m_settings{settings}, m_gossip{{settings.host, settings.control_address},
-                                     make_gossip_options(),
+                                     make_gossip_options(settings.apply_time),
                                      std::random_device{}()},
       m_bus{loop, [this](std::string_view bytes) { receive(bytes); }},
       m_registry{loop, source, settings.host, settings.control_address}
@@ -55,7 +57,7 @@
                     {{"address", m_settings.control_address}});
         return false;
     }
-    m_tick_timer = m_loop.every(make_gossip_options().period,
+    m_tick_timer = m_loop.every(m_gossip.options().tick_period(),
                                 [this]
                                 {
                                     m_targets.prune(common::now());
@@ -79,6 +81,8 @@
     m.set("kqg_gateways", static_cast<std::int64_t>(m_peers.size() + 1));
     m.set("kqg_control_bytes", static_cast<std::int64_t>(m_bus.bytes()));
     m.set("kqg_store_lost", m_store_is_lost ? 1 : 0);
+    m.set("kqg_is_watching", m_gossip.is_watching() ? 1 : 0);
+    m.set("kqg_state_unconfirmed_ms", m_gossip.unconfirmed_time(now).count());
     // -1 stands for never.
     m.set("kqg_store_heard_age_ms",
           m_store_responded_at == common::timestamp{} ? -1 : (now - m_store_responded_at).count());
@@ -105,6 +109,10 @@
 
 void state_follower::execute(const membership::read_store& /*it*/)
 {
+    common::log(common::log_level::info, "store_read",
+                {{"unconfirmed_ms", m_gossip.unconfirmed_time(common::now()).count()},
+                 {"place", m_gossip.takeover_position()},
+                 {"revision", as_of()}});
     m_store.range(std::string{m_adapter.replicated_prefix()},
                   [this](const auto& response)
                   {
@@ -124,16 +132,22 @@
 void state_follower::execute(const membership::start_watch& /*it*/)
 {
     const auto era = m_gossip.replica().era();
-    common::log(common::log_level::info, "watch_started", {{"revision", as_of()}, {"era", era}});
-    m_watch = m_store.start_watch(std::string{m_adapter.replicated_prefix()}, {era, as_of() + 1},
-                                  {[this, era](auto to, auto changes)
-                                   {
-                                       handle_store_success();
-                                       m_learnt_by = "watch";
-                                       execute_all(m_gossip.store_changed(
-                                           {as_of(), to, std::move(changes), era}, common::now()));
-                                   },
-                                   [this](const failure& why) { handle_store_failure(why); }});
+    common::log(common::log_level::info, "watch_started",
+                {{"revision", as_of()},
+                 {"era", era},
+                 {"unconfirmed_ms", m_gossip.unconfirmed_time(common::now()).count()},
+                 {"place", m_gossip.takeover_position()}});
+    m_watch = m_store.start_watch(
+        std::string{m_adapter.replicated_prefix()}, {era, as_of() + 1},
+        {[this, era](auto to, auto changes, auto confirmed_at)
+         {
+             handle_store_success();
+             m_learnt_by = "watch";
+             execute_all(m_gossip.store_changed({as_of(), to, std::move(changes), era},
+                                                common::now(), confirmed_at));
+         },
+         [this](const failure& why) { handle_store_failure(why); }});
+    update_watch_period();
 }
 
 void state_follower::execute(const membership::stop_watch& /*it*/)
@@ -178,7 +192,7 @@
         common::log(
             common::log_level::warn, "store_lost",
             {{"code", common::number(why.code)}, {"detail", why.detail}, {"revision", as_of()}});
-    execute_all(m_gossip.store_failed(common::now()));
+    execute_all(m_gossip.store_failed(common::now(), membership::failure_of_watch(why.code)));
 }
 
 /// When the last store outage ended, if an entry that is removed now may have expired because of
@@ -429,6 +443,15 @@
 {
     m_peers = m_registry.peers();
     m_gossip.set_peers(m_peers);
+    update_watch_period();
+}
+
+/// Processes that don't watch rely on the confirmations of those that do.
+void state_follower::update_watch_period()
+{
+    if (m_watch)
+        m_watch->confirm_every(m_gossip.has_dependents() ? m_gossip.options().confirmation_period()
+                                                         : milliseconds::max());
 }
 
 } // namespace kumquatgap::gateway
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -99,6 +99,7 @@
     void put_in_force(fleet::configuration found, kv::revision revision);
     void handle_gateways_pruned();
     void update_peers();
+    void update_watch_period();
 
     io::event_loop& m_loop;
     kv::store& m_store;
--- a/source/unit_tests/common/settings_test.cpp
+++ b/source/unit_tests/common/settings_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <optional>
@@ -44,6 +45,20 @@
     cr_assert_eq(s.count, 3);
 }
 
+Test(settings, environment_goes_before_the_file)
+{
+    ::setenv("KQG_PROCESS_COUNT", "5", 1);
+    ::setenv("KQG_PROCESS_NAME", "b", 1);
+    sample_settings s;
+    cr_assert(s.schema.read("[process]\naddress = 127.0.0.1:80\ncount = 4\n").empty());
+    cr_assert_eq(s.count, 5);
+    cr_assert(s.name == "b");
+    ::setenv("KQG_PROCESS_COUNT", "11", 1);
+    const auto errors = s.schema.read("[process]\naddress = 127.0.0.1:80\n");
+    cr_assert_eq(errors.size(), 1U);
+    cr_assert(errors.front().text.starts_with("KQG_PROCESS_COUNT: "));
+}
+
 Test(settings, all_errors_are_reported_with_their_lines)
 {
     sample_settings s;
--- a/source/unit_tests/membership/fuzz_gossip_node.cpp
+++ b/source/unit_tests/membership/fuzz_gossip_node.cpp
@@ -101,7 +101,7 @@
         case 12:
             return report_changes(n);
         case 13:
-            return lose_watch(n);
+            return lose_watch(n, store_failure::unavailable);
         case 14:
             return b < 3 ? restart(n) : void();
         case 15:
@@ -160,7 +160,7 @@
     {
         gossip_options options;
         if (m_mutation == mutation::no_takeover)
-            options.watcher_timeout = milliseconds{1'000'000};
+            options.apply_time = milliseconds{2'000'000};
         process out{gossip_node{name_of(n), options, n + 1}};
         std::vector<peer> peers;
         for (std::size_t i = 0; i < process_count; ++i)
@@ -275,7 +275,7 @@
             return;
         if (it.watched_era != m_store.position().in_era &&
             m_mutation != mutation::watch_outlives_era)
-            return lose_watch(n);
+            return lose_watch(n, store_failure::history_lost);
         const auto from = it.state.replica().as_of();
         std::vector<kv::change> changes;
         for (const auto& c : m_store.changes_after(from))
@@ -283,22 +283,22 @@
         if (m_mutation == mutation::watch_skips_changes && changes.size() > 1)
             changes.erase(changes.begin());
         if (!changes.empty())
-            carry_out(n,
-                      it.state.store_changed(
-                          {from, m_store.revision(), std::move(changes), it.watched_era}, m_now));
+            carry_out(n, it.state.store_changed(
+                             {from, m_store.revision(), std::move(changes), it.watched_era}, m_now,
+                             m_now));
     }
 
-    void lose_watch(std::size_t n)
+    void lose_watch(std::size_t n, store_failure why)
     {
         if (std::exchange(m_processes[n].is_watching, false))
-            carry_out(n, m_processes[n].state.store_failed(m_now));
+            carry_out(n, m_processes[n].state.store_failed(m_now, why));
     }
 
     void check_head(std::size_t n)
     {
         auto& it = m_processes[n];
         if (it.is_watching && it.state.replica().position() < m_store.position())
-            return lose_watch(n);
+            return lose_watch(n, store_failure::history_lost);
         if (it.is_watching)
             it.state.store_responded(m_now);
     }
--- a/source/unit_tests/membership/gossip_node_test.cpp
+++ b/source/unit_tests/membership/gossip_node_test.cpp
@@ -37,7 +37,7 @@
     /// Reports a change of the store.
     actions change(kv::revision to, milliseconds t)
     {
-        return it.store_changed({to - 1, to, {{"k", std::to_string(to), to}}}, at(t));
+        return it.store_changed({to - 1, to, {{"k", std::to_string(to), to}}}, at(t), at(t));
     }
 
     /// The deltas in response to the digest of a peer whose replica has a given revision.
@@ -146,7 +146,7 @@
     const auto stops_watch = std::ranges::any_of(out, [](const auto& a)
                                                  { return std::holds_alternative<stop_watch>(a); });
     cr_assert(stops_watch);
-    it.store_changed({10, 11, {{"a", "3", 11}}, 1}, at(milliseconds{3}));
+    it.store_changed({10, 11, {{"a", "3", 11}}, 1}, at(milliseconds{3}), at(milliseconds{3}));
     cr_assert_eq(it.replica().items().at("a").value, "2");
     it.handle(delta_message{{8, 12, {{"a", "4", 12}}, 1}}, at(milliseconds{4}));
     cr_assert_eq(it.replica().items().at("a").value, "2");
--- a/source/unit_tests/membership/message_test.cpp
+++ b/source/unit_tests/membership/message_test.cpp
@@ -48,6 +48,30 @@
                  3);
 }
 
+Test(membership_message, confirmation_survives_encoding)
+{
+    digest d{"a", "10.0.0.1:1", 9, 8, {}, 3};
+    d.asked_at = 1234;
+    d.answer_to = 5678;
+    d.unconfirmed_time = kumquatgap::common::milliseconds{90};
+    const auto read = std::get<digest>(from_bytes(to_bytes(d, "t"), "t").value());
+    cr_assert_eq(read.asked_at, 1234);
+    cr_assert_eq(read.answer_to, 5678);
+    cr_assert_eq(read.unconfirmed_time.count(), 90);
+}
+
+/// A digest that neither asks nor answers is the same as that of the builds before.
+Test(membership_message, digest_without_confirmation_has_no_new_fields)
+{
+    const auto body = json::from_cbor(to_bytes(digest{"a", "10.0.0.1:1", 9, 8, {}, 3}, "t"));
+    cr_assert_eq(body.size(), 8U);
+    auto answer = json::from_cbor(to_bytes(digest{"a", "10.0.0.1:1", 9, 8, {}, 3}, "t"));
+    answer["answer_to"] = 5678;
+    std::string bytes;
+    json::to_cbor(answer, bytes);
+    cr_assert_not(from_bytes(bytes, "t"));
+}
+
 Test(membership_message, message_of_build_without_eras_is_of_default_era)
 {
     const auto bytes = without_era(digest{"a", "10.0.0.1:1", 9, 8, {}, 3});
