A call keeps its target until the one asked in its place answers

A slow idempotent call that was refused elsewhere got an error though its answer came later.

Evidence: attempt_stalled, attempt_failed outcome=refused_unrun and request_failed code=3003 stand within 1 ms, also without SIGTERM (so not the shutdown), and no retry_refused (so not the budget).

Change: the former attempt goes on until either target answers; fleet/attempt_pair decides what a report of one of the two means. Refusal, silence, a lost connection or a bare head of the second target leave the call where it was. Moves, attempts and budget are counted as before. This works because a call has no moment without a target.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -77,7 +77,8 @@
     auto& state = m_gateway.service(m_options.target.service);
     state.picker.ended(m_options.target.id, 1, health,
                        std::chrono::duration_cast<milliseconds>(now - m_started), now);
-    state.queue.slot_freed(m_options.call);
+    if (m_has_slot)
+        state.queue.slot_freed(m_options.call);
 }
 
 void attempt::handle_head(const io::http_response& head)
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -72,6 +72,8 @@
     /// True when the target may have received the request.
     bool may_have_reached_target() const { return m_call && m_call->may_have_been_sent(); }
     void pause_reading(bool on);
+    /// Another attempt counts for the call's slot from now on.
+    void give_up_slot() { m_has_slot = false; }
     /// The failed member of the target's group, as the last response head named it.
     const std::string& failed_member() const { return m_head.failed_member; }
     /// How the connection ended.
@@ -107,6 +109,7 @@
     bool m_is_stream = false;
     /// True until the end of the attempt was recorded in the picker.
     bool m_is_in_flight = true;
+    bool m_has_slot = true;
     std::string m_body;
     io::sse_splitter m_events;
     /// Counts m_body towards the memory budget.
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -12,6 +12,8 @@
 
 using common::result_code;
 using fleet::attempt_outcome;
+using fleet::attempt_report;
+using fleet::pair_decision;
 using policy::target_health;
 
 namespace
@@ -154,15 +156,22 @@
 
 void exchange::release_attempt(attempt& it)
 {
-    if (m_attempt.get() != &it)
+    const bool is_former = m_former && m_former->target.get() == &it;
+    if (!is_former && m_attempt.get() != &it)
         return;
-    m_gateway.loop().defer([old = std::shared_ptr<attempt>{std::move(m_attempt)}] {});
+    auto& owner = is_former ? m_former->target : m_attempt;
+    m_gateway.loop().defer([old = std::shared_ptr<attempt>{std::move(owner)}] {});
+    if (is_former)
+        m_former.reset();
+    else if (m_former)
+        return_to_former();
 }
 
-void exchange::stream_started(attempt& /*sender*/, const io::http_response& head)
+void exchange::stream_started(attempt& sender, const io::http_response& head)
 {
     if (m_responder->is_started())
         return;
+    decide_between_attempts(sender, attempt_report::head);
     m_responder->start_stream(head.status, m_gateway.adapter().caller_response_headers(head));
     m_responder->on_drained(
         [self = weak_from_this()]
@@ -170,6 +179,8 @@
             const auto it = self.lock();
             if (it && it->m_attempt)
                 it->m_attempt->pause_reading(false);
+            if (it && it->m_former)
+                it->m_former->target->pause_reading(false);
         });
 }
 
@@ -177,6 +188,8 @@
 {
     if (m_ended)
         return;
+    decide_between_attempts(it,
+                            event.is_blank() ? attempt_report::blank_event : attempt_report::event);
     std::int64_t n = 0;
     if (common::parse_number(event.id, n))
     {
@@ -253,7 +266,8 @@
                                       common::now());
     if (outcome == attempt_outcome::answered)
         return handle_response(it, answer);
-    report_loss(it, outcome);
+    if (&it == m_attempt.get())
+        report_loss(it, outcome);
     if (outcome == attempt_outcome::other_target)
         m_gateway.release_address(it.target().id);
     if (outcome == attempt_outcome::refused_unrun && it.indicates_service_outage())
@@ -263,8 +277,10 @@
     const auto if_unknown = it.connection_end() == io::call_outcome::oversized
                                 ? result_code::answer_too_long
                                 : result_code::outcome_unknown;
+    const auto decision = decide_between_attempts(it, attempt_report::failure);
     release_attempt(it);
-    handle_failure(outcome, if_unknown);
+    if (decision != pair_decision::drop)
+        handle_failure(outcome, if_unknown);
 }
 
 /// Pauses the service: a member of its only group has failed, so no target can serve for now.
@@ -289,7 +305,16 @@
     }
     m_gateway.service(m_service).is_recovering = false;
     m_tried.insert(it.target().id);
+    auto report = is_failure ? attempt_report::error_response : attempt_report::response;
+    if (was_stream)
+        report = attempt_report::stream_end;
+    const auto decision = decide_between_attempts(it, report);
     release_attempt(it);
+    if (decision == pair_decision::drop)
+    {
+        m_fallback = response;
+        return;
+    }
     if (was_stream)
         return finish_stream();
     if (is_failure && fleet::is_safe_to_retry(m_route->kind) &&
@@ -365,10 +390,7 @@
 void exchange::handle_quarantine()
 {
     leave_queue();
-    if (m_attempt && m_attempt->may_have_reached_target())
-        m_attempts.end(attempt_outcome::unknown);
-    if (m_attempt)
-        m_attempt->cancel(target_health::unknown);
+    end_attempts();
     if (m_attempts.is_certainly_not_executed() && !m_responder->is_started())
         return refuse_quarantined();
     const auto why = m_gateway.crashes().refusal(m_marks, common::now());
@@ -408,8 +430,7 @@
     if (m_ended)
         return;
     leave_queue();
-    if (m_attempt)
-        m_attempt->cancel(target_health::unknown);
+    end_attempts();
     end("caller_gone", result_code::caller_gone, 0);
 }
 
@@ -445,6 +466,8 @@
     record_metrics(m_gateway.metrics(), it);
     write_log_line(code == result_code::ok ? m_gateway.success_log() : m_gateway.failure_log(), it,
                    now);
+    if (m_former)
+        release_attempt(*m_former->target);
     if (m_attempt)
         release_attempt(*m_attempt);
     m_gateway.remove(*this);
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/attempt_outcome.hpp"
+#include "fleet/attempt_pair.hpp"
 #include "gateway/attempt.hpp"
 #include "gateway/call_summary.hpp"
 #include "gateway/gateway.hpp"
@@ -47,8 +48,8 @@
     milliseconds gap_goal() const { return m_route->gap_goal; }
     /// Checks the request, and refuses or queues it.
     void start();
-    /// Ends the attempt that a queued call leaves for the slot that it gets now, if it has one;
-    /// false if the call stays with its target after all, and is no longer queued.
+    /// Makes the attempt that a queued call leaves for the slot that it gets now, if it has one,
+    /// its former one; false if the call stays with its target after all, and is no longer queued.
     bool leave_target(timestamp now);
     /// Sends the call to a target.
     void send_to(const fleet::target& it);
@@ -70,8 +71,19 @@
 
     std::optional<common::failure> check_request();
     void requeue();
-    /// Destroys an attempt later, since one of its own functions may be running.
+    /// Destroys an attempt later, since one of its own functions may be running. If it was the
+    /// newer one of two, the call goes on at its former target.
     void release_attempt(attempt& it);
+    /// Decides between two attempts after a report of one of them; nothing if there is one only.
+    fleet::pair_decision decide_between_attempts(attempt& it, fleet::attempt_report report);
+    /// The call goes on at this attempt: ends the other one.
+    void settle_on(attempt& it);
+    void log_settled(const attempt& it, bool is_former) const;
+    /// Ends an attempt that has not failed.
+    void end_attempt(attempt& it);
+    void end_former();
+    void end_attempts();
+    void return_to_former();
     void record_event(const attempt& it);
     void forward_event(attempt& it, std::string_view text);
     void handle_response(attempt& it, const io::http_response& response);
@@ -154,6 +166,17 @@
     fleet::attempt_history m_attempts{fleet::call_kind::once, 1};
     std::set<std::string> m_tried;
     std::unique_ptr<attempt> m_attempt;
+    /// An attempt that the call leaves once the current one answers.
+    struct former_attempt
+    {
+        std::unique_ptr<attempt> target;
+        std::optional<timestamp> last_event_at;
+        milliseconds last_gap{0};
+    };
+    std::optional<former_attempt> m_former;
+    /// Targets that the call left without a failure. It may go back to them once all others have
+    /// refused it.
+    std::set<std::string> m_left;
     /// A target's error response, forwarded if no other target responds better.
     std::optional<io::http_response> m_fallback;
     std::string m_last_event_id;
--- a/source/gateway/exchange_retries.cpp
+++ b/source/gateway/exchange_retries.cpp
@@ -21,7 +21,13 @@
     const auto eligible = m_gateway.eligibility().eligible(m_service, m_regions, common::now());
     if (eligible.empty() && placement_refusal())
         return false;
-    const auto next = fleet::next_target_after(last, eligible, m_tried);
+    auto next = fleet::next_target_after(last, eligible, m_tried);
+    if (next == fleet::next_target::none && !m_left.empty())
+    {
+        std::erase_if(m_tried, [this](const auto& it) { return m_left.contains(it); });
+        m_left.clear();
+        next = fleet::next_target_after(last, eligible, m_tried);
+    }
     if (next == fleet::next_target::any)
         m_tried.clear();
     return next != fleet::next_target::none;
--- a/tests/platform/gateway_moves_test.cpp
+++ b/tests/platform/gateway_moves_test.cpp
@@ -6,7 +6,9 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <csignal>
 #include <list>
+#include <optional>
 
 using namespace kumquatgap;
 using namespace kumquatgap::platform_tests;
@@ -65,6 +67,9 @@
         newest->silent_until = common::now() + time;
     }
 
+    /// From now on each target answers new streams with `fn` in its place.
+    void answer_new_streams(scripted_target::script fn) { m_new_streams = std::move(fn); }
+
     /// Ends a stream of another target than the first stream's.
     void complete_one_elsewhere()
     {
@@ -102,6 +107,8 @@
 
     void start(std::size_t target, const io::http_request& request, const reply& out)
     {
+        if (const auto fn = m_new_streams)
+            return fn(request, out);
         int last = 0;
         common::parse_number(request.headers.find("last-event-id"), last);
         out.write(stream_head(request));
@@ -123,6 +130,7 @@
     gateway_deployment m_deployment;
     std::vector<scripted_target*> m_targets;
     std::list<stream> m_streams;
+    scripted_target::script m_new_streams;
     io::timer_handle m_timer;
 };
 
@@ -137,8 +145,109 @@
     cr_assert_eq(engines.request_count(), streams);
 }
 
+void refuse(const io::http_request& request, const reply& out)
+{
+    out.write(whole_answer(request, 503, "", "X-Not-Executed: 1\r\n"));
+}
+
+/// Starts a stream at each of two targets. The target of one preempts it for a time, and the other
+/// target, which has a slot as far as the gateway knows, treats it as `fn` says. The stream must go
+/// on where it was.
+void expect_stream_stays(scripted_target::script fn, bool is_shut_down = false)
+{
+    paced_engines engines{2};
+    const auto calls = engines.begin(2);
+    engines.answer_new_streams(std::move(fn));
+    if (is_shut_down)
+        engines.deployment().gateway().signal(SIGTERM);
+    engines.stop_newest(preemption_time);
+    engines.expect_whole(calls);
+    for (const auto& it : calls)
+        cr_assert_eq(it->so_far, events_text(1, events));
+    cr_assert_eq(engines.request_count(), 3U);
+}
+
 } // namespace
 
+/// Guards against a stream that was taken from a target that would have gone on, and was cut since
+/// the target that was asked in its place refused it.
+Test(gateway_moves, silent_stream_stays_when_the_other_target_refuses_it)
+{
+    expect_stream_stays(refuse);
+}
+
+/// The same while the gateway shuts down, as callers of review/7 saw it.
+Test(gateway_moves, silent_stream_stays_when_refused_elsewhere_during_shutdown)
+{
+    expect_stream_stays(refuse, true);
+}
+
+Test(gateway_moves, silent_stream_stays_when_the_other_target_closes_the_connection)
+{
+    expect_stream_stays([](const auto& /*request*/, const reply& out) { out.close(); });
+}
+
+Test(gateway_moves, silent_stream_stays_when_the_other_target_says_nothing)
+{
+    expect_stream_stays([](const auto& /*request*/, const auto& /*out*/) {});
+}
+
+/// A head alone does not show that the target has begun with the stream.
+Test(gateway_moves, silent_stream_stays_when_the_other_target_sends_a_head_only)
+{
+    expect_stream_stays([](const io::http_request& request, const reply& out)
+                        { out.write(stream_head(request)); });
+}
+
+/// Guards against holding on to a dead target after one refusal: the stream goes to a third one.
+Test(gateway_moves, refused_stream_leaves_dead_target_for_the_next_one)
+{
+    paced_engines engines{3};
+    const auto calls = engines.begin(2);
+    int refusals = 0;
+    engines.answer_new_streams(
+        [&](const io::http_request& request, const reply& out)
+        {
+            ++refusals;
+            engines.answer_new_streams({});
+            refuse(request, out);
+        });
+    constexpr milliseconds for_good{60'000};
+    engines.stop_newest(for_good);
+    engines.expect_whole(calls);
+    cr_assert_eq(refusals, 1);
+    for (const auto& it : calls)
+        cr_assert_eq(it->so_far, events_text(1, events));
+}
+
+/// Guards against the same with a slow idempotent call: its target's answer comes, though another
+/// one has refused the call meanwhile.
+Test(gateway_moves, slow_idempotent_call_gets_its_answer_when_refused_elsewhere)
+{
+    gateway_deployment deployment;
+    std::vector<io::timer_handle> timers;
+    std::optional<int> arrivals;
+    const auto answer = [&](const io::http_request& request, const reply& out)
+    {
+        const int nth = arrivals ? ++*arrivals : 0;
+        if (nth == 2)
+            return refuse(request, out);
+        const milliseconds time{nth == 1 ? 900 : 5};
+        timers.push_back(deployment.loop().after(
+            time, [request, out] { out.write(whole_answer(request, 200, "done")); }));
+    };
+    deployment.add_target("t-0", "plain", answer);
+    deployment.add_target("t-1", "plain", answer);
+    deployment.put_config(deployment.config(5));
+    cr_assert(deployment.wait_ready());
+    for (int i = 0; i < 8; ++i)
+        deployment.call(deployment.request("/read/x", common::concat("w", i)));
+    arrivals = 0;
+    const auto result = deployment.call(deployment.request("/read/x", "r0"));
+    cr_assert_eq(*arrivals, 2);
+    cr_assert_eq(result.answer.status, 200);
+}
+
 /// Guards against a stream that was taken from its target for its silence, found no free slot
 /// elsewhere, and was cut although its target would have gone on.
 Test(gateway_moves, silent_stream_stays_while_no_other_target_has_a_slot)
--- a/tests/platform/gateway_slow_rank_test.cpp
+++ b/tests/platform/gateway_slow_rank_test.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <utility>
 
 using namespace kumquatgap;
 using namespace kumquatgap::platform_tests;
@@ -56,6 +57,8 @@
     }
 
     gateway_deployment& deployment() { return m_deployment; }
+    /// The next stream that is moved is refused.
+    void refuse_next_resumption() { m_refuses = true; }
     std::size_t request_count() const
     {
         return m_targets.front()->requests().size() + m_targets.back()->requests().size();
@@ -68,6 +71,8 @@
         const auto text = request.headers.find("last-event-id");
         if (!text.empty())
             common::parse_number(text, last);
+        if (!text.empty() && std::exchange(m_refuses, false))
+            return out.write(whole_answer(request, 503, "", "X-Not-Executed: 1\r\n"));
         out.write(stream_head(request));
         const auto send = [out](int i)
         {
@@ -87,6 +92,7 @@
     gateway_deployment m_deployment;
     std::vector<scripted_target*> m_targets;
     std::vector<io::timer_handle> m_timers;
+    bool m_refuses = false;
 };
 
 } // namespace
@@ -106,6 +112,19 @@
         { return group.deployment().log().find("slow_target_left id=r1") != std::string::npos; }));
 }
 
+/// Guards against a stream that was cut since the only other target refused it, though the slow one
+/// would have gone on.
+Test(gateway_slow_rank, stream_refused_elsewhere_stays_with_its_slow_target)
+{
+    slow_group group;
+    group.refuse_next_resumption();
+    const auto call = group.start_on_slow_target(12);
+    cr_assert(group.deployment().wait_until([&] { return call->result.ended; }));
+    cr_assert_eq(call->result.how, io::call_outcome::complete);
+    cr_assert_eq(call->so_far, events_text(1, event_count));
+    cr_assert_eq(group.request_count(), 2U);
+}
+
 /// Moving a stream costs it a gap and a retry, so it stays where little would be gained.
 Test(gateway_slow_rank, stream_stays_on_a_slightly_slow_rank)
 {
