A response with a status that HTTP does not have is no answer

Cause: the packaged parser takes any number of digits and any version; the client took every status below 200 for an interim response and passed its body on (a range check with one end).

Evidence: gateway_odd_status_test on the code before: 000 with a sound answer behind it gives "200 oddsound", alone 504 by the deadline; no request_answered with status 0, so it was not passed on itself.

Change: io/http_codec checks each status line before it is parsed (version 1, three digits, 100 to 599, not 101) and refuses bodies of 1xx and 204; a 304 ends with its head. Such an attempt ends as malformed with an unknown outcome: idempotent calls go elsewhere within their attempts, others get 504 (3001) at once. A head from an agent must have a status from 200 to 599. This works because every response of the product is read there.

--- a/source/core/io/http_codec.cpp
+++ b/source/core/io/http_codec.cpp
@@ -55,6 +55,18 @@
     return *static_cast<http_reader*>(p->data);
 }
 
+/// The pattern of a status line up to the byte after the status; `0` stands for a digit, and the
+/// last byte for a space or the end of the line.
+constexpr std::string_view status_line_pattern = "HTTP/1.0 000 ";
+
+bool matches_status_line(char c, std::size_t at)
+{
+    if (at + 1 == status_line_pattern.size())
+        return c == ' ' || c == '\r' || c == '\n';
+    const auto expected = status_line_pattern[at];
+    return expected == '0' ? c >= '0' && c <= '9' : c == expected;
+}
+
 } // namespace
 
 const http_parser_settings& http_reader::settings()
@@ -84,7 +96,59 @@
 
 std::size_t http_reader::feed(std::string_view bytes)
 {
-    return http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
+    std::size_t used = 0;
+    const auto execute = [&]
+    {
+        const auto rest = bytes.substr(used);
+        used += http_parser_execute(&m_parser, &settings(), rest.data(), rest.size());
+    };
+    if (m_parser.type != HTTP_RESPONSE)
+    {
+        execute();
+        return used;
+    }
+    // The parser stops after each response, so that the next status line is checked before it is
+    // parsed.
+    while (used < bytes.size() && !m_is_paused && !has_failed())
+    {
+        if (!take_status_line(bytes.substr(used)))
+        {
+            m_has_bad_status_line = true;
+            break;
+        }
+        execute();
+        if (is_paused() && !m_is_paused)
+            http_parser_pause(&m_parser, 0);
+    }
+    return used;
+}
+
+/// The parser accepts any version, and any number of digits as the status.
+bool http_reader::take_status_line(std::string_view bytes)
+{
+    for (const char c : bytes)
+    {
+        if (m_status_line.size() == status_line_pattern.size())
+            return true;
+        // Empty lines before a message are allowed.
+        if (m_status_line.empty() && (c == '\r' || c == '\n'))
+            continue;
+        if (!matches_status_line(c, m_status_line.size()))
+            return false;
+        m_status_line += c;
+    }
+    return true;
+}
+
+bool http_reader::is_possible_response() const
+{
+    const bool is_interim = status() >= HTTP_STATUS_CONTINUE && status() < HTTP_STATUS_OK;
+    if (!is_final_status(status()) && (!is_interim || status() == HTTP_STATUS_SWITCHING_PROTOCOLS))
+        return false;
+    const bool has_no_body = is_interim || status() == HTTP_STATUS_NO_CONTENT;
+    const bool announces_body = (m_parser.flags & F_CHUNKED) != 0 ||
+                                (m_content_length != no_length && m_content_length > 0);
+    return !has_no_body || !announces_body;
 }
 
 void http_reader::feed_eof()
@@ -95,11 +159,13 @@
 bool http_reader::has_failed() const
 {
     const auto ec = HTTP_PARSER_ERRNO(&m_parser);
-    return (ec != HPE_OK && ec != HPE_PAUSED) || m_parser.upgrade != 0;
+    return (ec != HPE_OK && ec != HPE_PAUSED) || m_parser.upgrade != 0 || m_has_bad_status_line;
 }
 
 std::string http_reader::error_text() const
 {
+    if (m_has_bad_status_line)
+        return "the status line is malformed";
     return http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
 }
 
@@ -182,9 +248,13 @@
     it.m_is_close_delimited = p->type == HTTP_RESPONSE && has_close_delimited_body(*p);
     const bool is_bad_url = !std::ranges::all_of(
         it.m_url, [](char c) { return c != ' ' && c != '\t' && is_value_byte(c); });
-    if (it.m_has_malformed_field || is_bad_url || !it.m_handler.on_head())
+    const bool is_response = p->type == HTTP_RESPONSE;
+    if (it.m_has_malformed_field || is_bad_url || (is_response && !it.is_possible_response()) ||
+        !it.m_handler.on_head())
         return stop;
-    return it.m_expect_no_body ? skip_body : 0;
+    // A 304 may name the length of the body that it stands for.
+    const bool has_no_body = is_response && it.status() == HTTP_STATUS_NOT_MODIFIED;
+    return it.m_expect_no_body || has_no_body ? skip_body : 0;
 }
 
 int http_reader::body_part(http_parser* p, const char* at, std::size_t n)
@@ -199,7 +269,12 @@
     it.m_field.clear();
     it.m_value.clear();
     it.m_in_value = false;
-    return it.m_handler.on_complete() ? 0 : 1;
+    if (!it.m_handler.on_complete())
+        return 1;
+    it.m_status_line.clear();
+    if (p->type == HTTP_RESPONSE)
+        http_parser_pause(p, 1);
+    return 0;
 }
 
 void append_fields(std::string& out, const header_list& fields)
--- a/source/core/io/http_codec.hpp
+++ b/source/core/io/http_codec.hpp
@@ -40,11 +40,17 @@
     http_reader(http_parser_type type, message_handler& handler);
 
     /// Parses bytes; returns how many were consumed, which is fewer than given when paused or
-    /// failed.
+    /// failed. Responses fail that the protocol does not have: a status line that is not of version
+    /// 1 or whose status is not three digits from 100 to 599, the status 101, which no request asks
+    /// for, and a body where the status allows none.
     std::size_t feed(std::string_view bytes);
     /// Reports the end of the connection's input, which completes a close-delimited message.
     void feed_eof();
-    void pause(bool on) { http_parser_pause(&m_parser, on ? 1 : 0); }
+    void pause(bool on)
+    {
+        m_is_paused = on;
+        http_parser_pause(&m_parser, on ? 1 : 0);
+    }
     bool is_paused() const { return HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED; }
     bool has_failed() const;
     /// The parser's description of its error.
@@ -86,6 +92,8 @@
     static int message_done(http_parser* p);
     static const http_parser_settings& settings();
     void end_field();
+    bool take_status_line(std::string_view bytes);
+    bool is_possible_response() const;
 
     http_parser m_parser{};
     message_handler& m_handler;
@@ -98,6 +106,11 @@
     bool m_keep_alive = false;
     bool m_is_close_delimited = false;
     bool m_expect_no_body = false;
+    /// The owner of the reader has paused it.
+    bool m_is_paused = false;
+    /// The beginning of the current response's status line, up to the end of its status.
+    std::string m_status_line;
+    bool m_has_bad_status_line = false;
     std::size_t m_head_bytes = 0;
     std::uint64_t m_content_length = no_length;
 };
--- a/source/core/io/http_message.hpp
+++ b/source/core/io/http_message.hpp
@@ -36,6 +36,14 @@
     std::vector<std::pair<std::string, std::string>> m_fields;
 };
 
+/// True for the status of a response that ends a call; interim responses (1xx) don't.
+constexpr bool is_final_status(int status)
+{
+    constexpr int first = 200;
+    constexpr int last = 599;
+    return status >= first && status <= last;
+}
+
 /// An HTTP request, received or to be sent.
 struct http_request
 {
--- a/source/core/io/http_server.cpp
+++ b/source/core/io/http_server.cpp
@@ -51,9 +51,11 @@
     if (!is_open() || m_started)
         return;
     m_started = true;
+    const bool has_no_body =
+        response.status == HTTP_STATUS_NO_CONTENT || response.status == HTTP_STATUS_NOT_MODIFIED;
     send_head(response.status, response.headers,
-              common::concat("Content-Length: ", response.body.size(), "\r\n"));
-    if (!m_connection->is_head_request())
+              has_no_body ? "" : common::concat("Content-Length: ", response.body.size(), "\r\n"));
+    if (!m_connection->is_head_request() && !has_no_body)
         m_connection->write(response.body);
     finish();
 }
--- a/source/core/protocol/agent_call.cpp
+++ b/source/core/protocol/agent_call.cpp
@@ -101,6 +101,14 @@
     return out;
 }
 
+std::optional<response_event> read_head(const json& data)
+{
+    const auto status = data.at("status").get<int>();
+    if (!io::is_final_status(status))
+        return std::nullopt;
+    return response_head{status, data.at("content_type")};
+}
+
 /// Reads an event whose data is JSON.
 std::optional<response_event> read_json_event(const io::sse_event& event)
 {
@@ -108,7 +116,7 @@
     try
     {
         if (event.event == "head")
-            return response_head{data.at("status"), data.at("content_type")};
+            return read_head(data);
         if (event.event == "end")
             return response_end{data.at("attempt"), data.at("parts"), read_load(data.at("load"))};
         if (event.event == "failed")
