Up to twelve gateways all watch the store, more have four or one in 16

Cause: watchers on which others depend have the store's answer every quarter of apply_ms.

Change: max_all_watch (12) and four watchers above that. Digests go out every period although ticks are late at times.

--- a/source/core/membership/gossip_node.cpp
+++ b/source/core/membership/gossip_node.cpp
@@ -52,9 +52,11 @@
 
 std::size_t gossip_node::watcher_count() const
 {
+    const auto count = m_takeover_order.size();
+    if (count <= m_options.max_all_watch)
+        return count;
     const auto per_watcher = m_options.processes_per_watcher;
-    const auto needed =
-        per_watcher == 0 ? 0 : (m_takeover_order.size() + per_watcher - 1) / per_watcher;
+    const auto needed = per_watcher == 0 ? 0 : (count + per_watcher - 1) / per_watcher;
     return std::max(m_options.watchers, needed);
 }
 
@@ -130,7 +132,8 @@
 actions gossip_node::tick(timestamp now)
 {
     actions out;
-    if (now >= m_next_digest_at)
+    // A tick may be a little early after a late one.
+    if (now + m_options.tick_period() / 2 >= m_next_digest_at)
     {
         m_next_digest_at = now + m_options.period;
         send_digest_to_random_peers(out, m_options.digest_peers, now);
--- a/source/core/membership/gossip_node.hpp
+++ b/source/core/membership/gossip_node.hpp
@@ -56,7 +56,10 @@
 /// Timing and fanout of the gossip protocol.
 struct gossip_options
 {
-    /// How many processes of a data centre watch the store, at least.
+    /// In a data centre with at most this many processes all watch the store. So few cost it less
+    /// than watchers on which others depend, which it has to answer more often.
+    std::size_t max_all_watch = 1;
+    /// How many watch it in a larger one, at least.
     std::size_t watchers = 2;
     /// The most processes for each of them, so that the requests for confirmation that a watcher
     /// answers don't grow with the data centre; 0 for any number.
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -14,7 +14,6 @@
 using fleet::attempt_outcome;
 using fleet::attempt_report;
 using fleet::pair_decision;
-using policy::target_health;
 
 namespace
 {
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -23,8 +23,8 @@
 membership::gossip_options make_gossip_options(milliseconds apply_time)
 {
     membership::gossip_options out;
-    // Up to this many gateways all watch the store, so that each detects an outage itself.
-    out.watchers = 8;
+    out.max_all_watch = 12;
+    out.watchers = 4;
     out.processes_per_watcher = 16;
     out.apply_time = apply_time;
     out.period = milliseconds{500};
--- a/source/unit_tests/membership/gossip_takeover_test.cpp
+++ b/source/unit_tests/membership/gossip_takeover_test.cpp
@@ -14,7 +14,8 @@
 gossip_options gateway_options(milliseconds apply_time)
 {
     gossip_options out;
-    out.watchers = 8;
+    out.max_all_watch = 12;
+    out.watchers = 4;
     out.processes_per_watcher = 16;
     out.period = milliseconds{500};
     out.initial_read_backoff = milliseconds{200};
@@ -39,7 +40,7 @@
 /// The installations of the users and a larger one, and a data centre with routers and agents.
 std::vector<deployment> deployments()
 {
-    return {{9, gateway_options(milliseconds{2000})},
+    return {{13, gateway_options(milliseconds{2000})},
             {24, gateway_options(milliseconds{3000})},
             {24, gateway_options(milliseconds{2000})},
             {300, gateway_options(milliseconds{2000})},
