A gateway takes the store for back when others confirm its state

Once the others confirm its state again it makes no more calls, so store_lost stayed set for good, and entries that were removed later counted as lapsed: their targets got calls for two more seconds.

Change: a confirmation that is younger than the last failed call ends the outage. A store that refuses one gateway and serves the others is there, and what it removed is gone.

--- a/source/core/membership/gossip_node.hpp
+++ b/source/core/membership/gossip_node.hpp
@@ -159,6 +159,9 @@
     kv::era default_era() const { return m_first_era; }
     const gossip_options& options() const { return m_options; }
     bool is_watching() const { return m_watching; }
+    /// The replica has all changes that the store had confirmed by then; the epoch before the first
+    /// confirmation.
+    timestamp confirmed_at() const { return m_confirmed_at; }
     /// The time since the replica was last known to have all changes that the store had confirmed;
     /// the time since the start before the first confirmation.
     milliseconds unconfirmed_time(timestamp now) const;
@@ -227,7 +230,6 @@
     std::map<std::string, last_sent_changes> m_last_sent;
     /// Peers that have sent nothing since this process asked them for a confirmation.
     std::set<std::string> m_unanswered;
-    /// The replica has all changes that the store had confirmed by then.
     timestamp m_confirmed_at;
     bool m_watching = false;
     bool m_reading = false;
--- a/source/gateway/state_follower.cpp
+++ b/source/gateway/state_follower.cpp
@@ -168,6 +168,9 @@
     }
     m_learnt_by = "peer";
     execute_all(m_gossip.handle(*m, common::now()));
+    // A gateway whose state the others confirm does not call the store itself.
+    if (m_gossip.confirmed_at() > m_store_failed_at)
+        note_store_recovery();
 }
 
 void state_follower::handle_store_restored()
@@ -180,6 +183,11 @@
 void state_follower::handle_store_success()
 {
     m_store_responded_at = common::now();
+    note_store_recovery();
+}
+
+void state_follower::note_store_recovery()
+{
     if (!std::exchange(m_store_is_lost, false))
         return;
     m_store_recovered_at = common::now();
@@ -188,6 +196,7 @@
 
 void state_follower::handle_store_failure(const failure& why)
 {
+    m_store_failed_at = common::now();
     if (!std::exchange(m_store_is_lost, true))
         common::log(
             common::log_level::warn, "store_lost",
--- a/source/gateway/state_follower.hpp
+++ b/source/gateway/state_follower.hpp
@@ -80,6 +80,7 @@
     void receive(std::string_view bytes);
     void handle_store_restored();
     void handle_store_success();
+    void note_store_recovery();
     void handle_store_failure(const common::failure& why);
     std::optional<common::timestamp> recent_outage_end(common::timestamp now) const;
     void apply_replica_changes();
@@ -129,6 +130,8 @@
     bool m_is_first_start = false;
     bool m_store_is_lost = false;
     common::timestamp m_store_recovered_at;
+    /// When a call to the store failed last.
+    common::timestamp m_store_failed_at;
     /// When the store last responded, and when the current configuration was adopted.
     common::timestamp m_store_responded_at;
     common::timestamp m_configuration_adopted_at;
--- a/source/unit_tests/membership/message_test.cpp
+++ b/source/unit_tests/membership/message_test.cpp
@@ -60,6 +60,21 @@
     cr_assert_eq(read.unconfirmed_time.count(), 90);
 }
 
+/// A digest as build 1d75c01 encodes it with the token "t".
+constexpr std::string_view former_digest =
+    "a867616464726573736a31302e302e302e313a316561735f6f660963657261036b6c6173745f6368616e"
+    "676508646e616d65616165746f6b656e6174647479706566646967657374687761746368657273818261"
+    "6207";
+
+Test(membership_message, digest_of_build_without_confirmations_asks_for_none)
+{
+    const auto d = std::get<digest>(from_bytes(from_hex(former_digest), "t").value());
+    cr_assert_eq(d.watchers.at(0).age.count(), 7);
+    cr_assert_eq(d.in_era, 3);
+    cr_assert_eq(d.asked_at, 0);
+    cr_assert_eq(d.answer_to, 0);
+}
+
 /// A digest that neither asks nor answers is the same as that of the builds before.
 Test(membership_message, digest_without_confirmation_has_no_new_fields)
 {
--- a/tests/platform/gateway_lost_peers_test.cpp
+++ b/tests/platform/gateway_lost_peers_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -53,6 +54,12 @@
     return left;
 }
 
+/// True if a gateway's metrics have a line.
+bool has_metric(gateway_deployment& deployment, std::size_t i, std::string_view line)
+{
+    return deployment.metrics(i).find(line) != std::string::npos;
+}
+
 } // namespace
 
 /// Guards against gateways that go on with an old configuration for up to 15 s after the gateways
@@ -96,3 +103,24 @@
                          static_cast<long long>(sent_after.count()), it->result.answer.status);
     }
 }
+
+/// Guards against gateways that take the store for lost for good, since after the outage the others
+/// confirm their state and they no longer call the store themselves. Entries that were removed
+/// later counted as lapsed, and their targets got calls for two more seconds.
+Test(gateway_lost_peers, outage_ends_at_gateways_that_do_not_watch, .timeout = 90)
+{
+    gateway_deployment deployment{gateway_count};
+    deployment.put_config(deployment.config(1));
+    for (std::size_t i = 0; i < gateway_count; ++i)
+        cr_assert(deployment.wait_ready(i));
+    deployment.run_for(settling_time);
+    deployment.store().set_mood(stand_ins::store_mood::refuses);
+    for (std::size_t i = 0; i < gateway_count; ++i)
+        cr_assert(
+            deployment.wait_until([&] { return has_metric(deployment, i, "kqg_store_lost 1"); }));
+    deployment.store().set_mood(stand_ins::store_mood::serves);
+    for (std::size_t i = 0; i < gateway_count; ++i)
+        cr_assert(
+            deployment.wait_until([&] { return has_metric(deployment, i, "kqg_store_lost 0"); }),
+            "gateway %zu", i);
+}
