A call taken back from an evacuated target may go there again

Cause: since a call without a connection that an evacuation takes back counted its target among those that it had tried. Found by reading; no test.

Change: only the attempt that loses against the other one counts as tried. The held attempt's member has a name of its own.

gateway_moves_test, gateway_evacuation_test, gateway_slow_rank_test, gateway_streams_test, gateway_deadly_prompt_test pass.

--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -155,10 +155,10 @@
 
 void exchange::release_attempt(attempt& it)
 {
-    const bool is_former = m_former && m_former->target.get() == &it;
+    const bool is_former = m_former && m_former->held.get() == &it;
     if (!is_former && m_attempt.get() != &it)
         return;
-    auto& owner = is_former ? m_former->target : m_attempt;
+    auto& owner = is_former ? m_former->held : m_attempt;
     m_gateway.loop().defer([old = std::shared_ptr<attempt>{std::move(owner)}] {});
     if (is_former)
         m_former.reset();
@@ -179,7 +179,7 @@
             if (it && it->m_attempt)
                 it->m_attempt->pause_reading(false);
             if (it && it->m_former)
-                it->m_former->target->pause_reading(false);
+                it->m_former->held->pause_reading(false);
         });
 }
 
@@ -466,7 +466,7 @@
     write_log_line(code == result_code::ok ? m_gateway.success_log() : m_gateway.failure_log(), it,
                    now);
     if (m_former)
-        release_attempt(*m_former->target);
+        release_attempt(*m_former->held);
     if (m_attempt)
         release_attempt(*m_attempt);
     m_gateway.remove(*this);
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -79,7 +79,8 @@
     /// The call goes on at this attempt: ends the other one.
     void settle_on(attempt& it);
     void log_settled(const attempt& it, bool is_former) const;
-    /// Ends an attempt that has not failed.
+    /// Ends an attempt that has not failed; if it was the newer one of two, the call goes on at its
+    /// former target.
     void end_attempt(attempt& it);
     void end_former();
     void end_attempts();
@@ -169,7 +170,7 @@
     /// An attempt that the call leaves once the current one answers.
     struct former_attempt
     {
-        std::unique_ptr<attempt> target;
+        std::unique_ptr<attempt> held;
         std::optional<timestamp> last_event_at;
         milliseconds last_gap{0};
     };
--- a/source/gateway/exchange_moves.cpp
+++ b/source/gateway/exchange_moves.cpp
@@ -113,7 +113,7 @@
     if (!leave_target(now))
         return;
     // As long as it stays, the streams of its group wait for it.
-    m_left.insert(m_former->target->target().id);
+    m_left.insert(m_former->held->target().id);
     end_former();
     requeue();
 }
@@ -156,17 +156,16 @@
 
 void exchange::settle_on(attempt& it)
 {
-    const bool is_former = m_former->target.get() == &it;
+    const bool is_former = m_former->held.get() == &it;
     log_settled(it, is_former);
-    if (is_former)
-        end_attempt(*m_attempt);
-    else
-        end_former();
+    auto& other = is_former ? *m_attempt : *m_former->held;
+    m_tried.insert(other.target().id);
+    end_attempt(other);
 }
 
 void exchange::log_settled(const attempt& it, bool is_former) const
 {
-    const auto& other = is_former ? *m_attempt : *m_former->target;
+    const auto& other = is_former ? *m_attempt : *m_former->held;
     m_gateway.failure_log().write(common::log_level::info,
                                   is_former ? "former_target_went_on" : "target_took_over",
                                   {{"id", m_caller.id},
@@ -181,14 +180,13 @@
 {
     m_attempts.end(it.may_have_reached_target() ? attempt_outcome::unknown
                                                 : attempt_outcome::not_sent);
-    m_tried.insert(it.target().id);
     it.cancel(target_health::unknown);
     release_attempt(it);
 }
 
 void exchange::end_former()
 {
-    end_attempt(*m_former->target);
+    end_attempt(*m_former->held);
 }
 
 void exchange::end_attempts()
@@ -203,7 +201,7 @@
 {
     auto former = std::move(*m_former);
     m_former.reset();
-    m_attempt = std::move(former.target);
+    m_attempt = std::move(former.held);
     m_last_event_at = former.last_event_at;
     m_last_gap = former.last_gap;
     m_is_target_reported = true;
