--- a/review/programs-3/deployment.cpp
+++ b/review/programs-3/deployment.cpp
@@ -52,10 +52,15 @@
         text.replace(at, from.size(), to);
 }
 
-/// The settings of one gateway: the deploy file's template with the figures of tuuz-router's sheet.
-std::string make_settings(const std::map<std::string, std::string>& own)
+/// The settings of one process: the deploy file's template with figures of tuuz-router's sheet.
+std::string make_settings(const std::string& settings_template,
+                          const std::map<std::string, std::string>& own)
 {
-    auto text = read_file("deploy/gateway.ini");
+    auto text = read_file(settings_template);
+    replace_all(text,
+                "{{#bounds.requireFencing}}true{{/bounds.requireFencing}}"
+                "{{^bounds.requireFencing}}false{{/bounds.requireFencing}}",
+                "true");
     replace_all(text, "{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}",
                 "ub-east:ulaanbaatar,ub-west:ulaanbaatar,ub-south:ulaanbaatar");
     std::map<std::string, std::string> values{
@@ -70,14 +75,14 @@
     return text;
 }
 
-/// The command of the gateway in the deploy file, with another settings file.
-std::vector<std::string> gateway_command(const std::string& settings)
+/// The command of a role in the deploy file, with another settings file.
+std::vector<std::string> command_of(const std::string& role, const std::string& settings)
 {
     const auto deploy = read_file("deploy/system.toml");
     std::smatch found;
-    if (!std::regex_search(deploy, found,
-                           std::regex{"\\[roles\\.gateway\\]\\s*run = \"([^\"]*)\""}))
-        throw std::runtime_error{"the deploy file names no command for the gateway"};
+    const std::regex pattern{"\\[roles\\." + role + "\\]\\s*run = \"([^\"]*)\""};
+    if (!std::regex_search(deploy, found, pattern))
+        throw std::runtime_error{"the deploy file names no command for " + role};
     std::istringstream words{found[1].str()};
     std::vector<std::string> out;
     for (std::string word; words >> word;)
@@ -161,7 +166,8 @@
         const auto control = failures::free_address();
         const auto metrics = failures::free_address();
         const auto path = common::concat(m_directory, "/gateway-", i, ".ini");
-        auto text = make_settings({{"nodeName", common::concat("front-ub-east-", i + 1)},
+        auto text = make_settings("deploy/gateway.ini",
+                                  {{"nodeName", common::concat("front-ub-east-", i + 1)},
                                    {"platform.address", m_store->address()},
                                    {"listen.front", m_addresses.back()},
                                    {"listen.ready", m_ready_addresses.back()},
@@ -171,7 +177,7 @@
         replace_all(text, "metrics_listen = 127.0.0.1:9464", "metrics_listen = " + metrics);
         std::ofstream{path} << text;
         m_gateways.push_back(std::make_unique<failures::process>(
-            gateway_command(path), common::concat(m_directory, "/gateway-", i, ".log")));
+            command_of("gateway", path), common::concat(m_directory, "/gateway-", i, ".log")));
     }
 }
 
@@ -277,6 +283,64 @@
     m_record << (common::now() - m_started_at).count() << " ms " << line << std::endl;
 }
 
+rank_deployment::rank_deployment(const case_options& options)
+    : m_directory{make_temp_directory()}, m_record{options.folder + "/record.txt"},
+      m_started_at{common::now()}, m_store{m_loop, failures::free_address()}
+{
+}
+
+rank_deployment::~rank_deployment()
+{
+    std::error_code ec;
+    std::filesystem::remove_all(m_directory, ec);
+}
+
+std::unique_ptr<failures::process> rank_deployment::start_agent(const std::string& name,
+                                                                const std::string& control_address,
+                                                                const std::string& target)
+{
+    auto text =
+        make_settings("deploy/rank_agent.ini",
+                      {{"nodeName", name},
+                       {"limits.memoryMb", "128"},
+                       {"limits.maxFds", "2048"},
+                       {"limits.linkMbps", "20"},
+                       {"platform.address", m_store.address()},
+                       {"ip", "127.0.0.1"},
+                       {"internalPorts.0", control_address.substr(control_address.find(':') + 1)},
+                       {"app", target},
+                       {"service", "kumquat-pool"}});
+    replace_all(text, "metrics_listen = 127.0.0.1:9464",
+                "metrics_listen = " + failures::free_address());
+    const auto path = common::concat(m_directory, "/", name, ".ini");
+    std::ofstream{path} << text;
+    return std::make_unique<failures::process>(command_of("rank", path),
+                                               common::concat(m_directory, "/", name, ".log"));
+}
+
+void rank_deployment::run_for(milliseconds time)
+{
+    const auto timer = m_loop.after(time, [this] { m_loop.stop(); });
+    m_loop.run();
+}
+
+bool rank_deployment::wait_until(const std::function<bool()>& condition, milliseconds longest)
+{
+    const auto start = common::now();
+    while (!condition())
+    {
+        if (common::now() - start > longest)
+            return false;
+        run_for(check_period);
+    }
+    return true;
+}
+
+void rank_deployment::record(const std::string& line)
+{
+    m_record << (common::now() - m_started_at).count() << " ms " << line << std::endl;
+}
+
 raw_connection::raw_connection(const std::string& address, int receive_buffer)
     : m_fd{::socket(AF_INET, SOCK_STREAM, 0)}
 {
--- a/review/programs-3/deployment.hpp
+++ b/review/programs-3/deployment.hpp
@@ -41,7 +41,7 @@
     bool has_trouble = true;
 };
 
-/// A route of the sheet of tuuz-router.
+/// A route as on the sheet of tuuz-router.
 nlohmann::json make_route(const std::string& prefix, const std::string& kind,
                           const std::string& service, int timeout_ms, int max_attempts);
 
@@ -116,6 +116,35 @@
     std::vector<std::unique_ptr<failures::process>> m_gateways;
 };
 
+/// A store in this process, and rank agents as processes of their own, which are started with the
+/// command of the deploy file and settings from its template.
+class rank_deployment
+{
+public:
+    explicit rank_deployment(const case_options& options);
+    rank_deployment(const rank_deployment&) = delete;
+    rank_deployment& operator=(const rank_deployment&) = delete;
+    ~rank_deployment();
+
+    io::event_loop& loop() { return m_loop; }
+    stand_ins::platform_store& store() { return m_store; }
+    /// Starts the agent of a rank at `target`.
+    std::unique_ptr<failures::process> start_agent(const std::string& name,
+                                                   const std::string& control_address,
+                                                   const std::string& target);
+    void run_for(milliseconds time);
+    bool wait_until(const std::function<bool()>& condition, milliseconds longest);
+    /// Writes a line with the time since the start to record.txt.
+    void record(const std::string& line);
+
+private:
+    io::event_loop m_loop;
+    std::string m_directory;
+    std::ofstream m_record;
+    common::timestamp m_started_at;
+    stand_ins::platform_store m_store;
+};
+
 /// A caller's own connection, read as slowly as a case says.
 class raw_connection
 {
@@ -150,6 +179,7 @@
 
 /// The cases; each returns whether its rule held.
 verdict repeat_after_late_extra_answer(const case_options& options);
+verdict late_order_after_takeover(const case_options& options);
 verdict answer_read_slowly(const case_options& options);
 verdict answer_without_signature(const case_options& options);
 verdict head_on_stream(const case_options& options);
--- a/review/programs-3/main.cpp
+++ b/review/programs-3/main.cpp
@@ -14,6 +14,7 @@
     using namespace kumquatgap::review;
     const std::map<std::string, std::function<verdict(const case_options&)>> cases{
         {"repeat_after_late_extra_answer", repeat_after_late_extra_answer},
+        {"late_order_after_takeover", late_order_after_takeover},
         {"answer_read_slowly", answer_read_slowly},
         {"answer_without_signature", answer_without_signature},
         {"head_on_stream", head_on_stream},
