--- a/review/programs-3/deployment.hpp
+++ b/review/programs-3/deployment.hpp
@@ -183,6 +183,5 @@
 verdict answer_read_slowly(const case_options& options);
 verdict answer_without_signature(const case_options& options);
 verdict head_on_stream(const case_options& options);
-verdict stream_with_other_line_ends(const case_options& options);
 
 } // namespace kumquatgap::review
--- a/review/programs-3/main.cpp
+++ b/review/programs-3/main.cpp
@@ -17,8 +17,7 @@
         {"late_order_after_takeover", late_order_after_takeover},
         {"answer_read_slowly", answer_read_slowly},
         {"answer_without_signature", answer_without_signature},
-        {"head_on_stream", head_on_stream},
-        {"stream_with_other_line_ends", stream_with_other_line_ends}};
+        {"head_on_stream", head_on_stream}};
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end())
     {
