--- a/review/programs-3/deployment.hpp
+++ b/review/programs-3/deployment.hpp
@@ -180,7 +180,7 @@
 /// The cases; each returns whether its rule held.
 verdict repeat_after_late_extra_answer(const case_options& options);
 verdict late_order_after_takeover(const case_options& options);
-verdict answer_read_slowly(const case_options& options);
+verdict stream_with_other_line_ends(const case_options& options);
 verdict answer_without_signature(const case_options& options);
 verdict head_on_stream(const case_options& options);
 
--- a/review/programs-3/late_order_after_takeover.cpp
+++ b/review/programs-3/late_order_after_takeover.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <optional>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -38,20 +38,24 @@
 /// What each rank chooses of the popular and of the other experts of a set in one pass.
 constexpr std::int64_t popular_choices = 8;
 constexpr std::int64_t other_choices = 1;
-/// A stream lasts for this long, and the next one begins this much later.
-constexpr milliseconds stream_time{8000};
+/// A stream of 24 events, one a pass, lasts for this long; the next one begins this much later.
+constexpr milliseconds stream_time{1500};
 constexpr milliseconds pause_between_streams{8000};
 /// The requester of a stream leaves after a gap of two seconds.
 constexpr milliseconds longest_gap{2000};
 /// An agent stands still until this long after the ranks are to be armed, and for no longer than
 /// the limit.
-constexpr milliseconds freeze_after_arm{2040};
+constexpr milliseconds freeze_after_arm{1950};
 constexpr milliseconds longest_freeze{3500};
+/// 0.11 of the sheet's 20 machines.
+constexpr int most_frozen = 2;
+/// The streams of the second group begin this much later.
+constexpr milliseconds stream_offset{5000};
 /// Which experts are chosen depends on the content of a request, and changes over time.
 constexpr milliseconds popularity_period{2500};
 /// An agent stands still while other ranks copy for this much longer at least, so that the
 /// controller has noticed before the ranks are to switch.
-constexpr milliseconds early_by{250};
+constexpr milliseconds early_by{140};
 /// Until an agent has told the controller that its rank is prepared.
 constexpr milliseconds before_freeze{25};
 
@@ -117,6 +121,12 @@
         m_record(m_name + " a stream begins");
     }
     bool has_stream() const { return m_has_stream; }
+    /// Ends the stream when its requester would leave.
+    void check_gap()
+    {
+        if (m_has_stream && common::now() - m_last_pass_at > longest_gap)
+            end_stream("its requester has left after a gap");
+    }
 
 private:
     struct rank
@@ -147,8 +157,9 @@
         if (!m_has_stream)
             return;
         const auto now = common::now();
-        if (now - m_last_pass_at > longest_gap)
-            return end_stream("its requester has left after a gap");
+        check_gap();
+        if (!m_has_stream)
+            return;
         if (now - m_stream_began_at > stream_time)
             return end_stream("complete");
         const auto next = m_ranks.front()->engine.state.pass + 1;
@@ -369,10 +380,12 @@
 class group_with_agents
 {
 public:
-    group_with_agents(rank_deployment& deployment, const std::string& name, bool has_trouble)
-        : m_deployment{deployment}, m_group{deployment.loop(), name, has_trouble,
-                                            [&deployment](const std::string& line)
-                                            { deployment.record(line); }}
+    group_with_agents(rank_deployment& deployment, const std::string& name, bool has_trouble,
+                      milliseconds first_stream_after, int& frozen_agents)
+        : m_deployment{deployment},
+          m_frozen_agents{frozen_agents}, m_group{deployment.loop(), name, has_trouble,
+                                                  [&deployment](const std::string& line)
+                                                  { deployment.record(line); }}
     {
         for (std::size_t i = 0; i < ranks; ++i)
         {
@@ -380,6 +393,7 @@
             m_agents.push_back(deployment.start_agent(common::concat(name, "-", i),
                                                       m_addresses.back(), m_group.address(i)));
         }
+        m_next_stream_at = common::now() + first_stream_after;
         if (has_trouble)
         {
             m_group.on_copied([this](std::size_t rank) { freeze(rank); });
@@ -393,13 +407,11 @@
     /// Begins the next stream when it is due.
     void tick(common::timestamp now)
     {
+        m_group.check_gap();
         if (m_group.has_stream())
-            m_idle_since = now;
-        else if (now - m_idle_since >= pause_between_streams)
-        {
-            m_idle_since = now;
+            m_next_stream_at = now + pause_between_streams;
+        else if (now >= m_next_stream_at)
             m_group.begin_stream();
-        }
     }
 
 private:
@@ -411,55 +423,64 @@
     }
 
     /// The agent of this rank stands still, unless it controls the group or its rank is the one
-    /// that holds the pass.
+    /// that holds the pass, or as many stand still already as the sheet allows.
     void freeze(std::size_t rank)
     {
-        if (m_freeze_timer || rank == 0 || rank == leader())
+        if (m_thaw_timer || rank == 0 || rank == leader() || m_frozen.contains(rank) ||
+            m_frozen_agents >= most_frozen)
             return;
-        m_freeze_timer = m_deployment.loop().after(
-            before_freeze,
-            [this, rank]
-            {
-                m_agents.at(rank)->signal(SIGSTOP);
-                m_deployment.record(
-                    common::concat(m_group.name(), " the agent of rank ", rank, " stands still"));
-                m_frozen = rank;
-                m_has_seen_arm = false;
-                m_deployment.loop().defer([this]
-                                          { thaw_after(longest_freeze - freeze_after_arm); });
-            });
+        ++m_frozen_agents;
+        m_has_seen_arm = false;
+        m_frozen.emplace(rank,
+                         m_deployment.loop().after(before_freeze,
+                                                   [this, rank]
+                                                   {
+                                                       m_agents.at(rank)->signal(SIGSTOP);
+                                                       m_deployment.record(common::concat(
+                                                           m_group.name(), " the agent of rank ",
+                                                           rank, " stands still"));
+                                                   }));
+        m_limit_timer =
+            m_deployment.loop().after(longest_freeze - before_freeze, [this] { thaw(); });
     }
 
     void note_arm()
     {
-        if (!m_frozen || m_has_seen_arm)
+        if (m_frozen.empty() || std::exchange(m_has_seen_arm, true))
             return;
-        m_has_seen_arm = true;
-        thaw_after(freeze_after_arm);
+        m_thaw_timer = m_deployment.loop().after(freeze_after_arm, [this] { thaw(); });
     }
 
-    void thaw_after(milliseconds time)
+    void thaw()
     {
-        m_freeze_timer = m_deployment.loop().after(
-            time,
+        for (const auto& [rank, timer] : m_frozen)
+        {
+            m_agents.at(rank)->signal(SIGCONT);
+            m_deployment.record(
+                common::concat(m_group.name(), " the agent of rank ", rank, " goes on"));
+            --m_frozen_agents;
+        }
+        m_deployment.loop().defer(
             [this]
             {
-                m_agents.at(*m_frozen)->signal(SIGCONT);
-                m_deployment.record(
-                    common::concat(m_group.name(), " the agent of rank ", *m_frozen, " goes on"));
-                m_frozen.reset();
-                m_deployment.loop().defer([this] { m_freeze_timer.reset(); });
+                m_frozen.clear();
+                m_thaw_timer.reset();
+                m_limit_timer.reset();
             });
     }
 
     rank_deployment& m_deployment;
+    /// Of all groups.
+    int& m_frozen_agents;
     quiet_group m_group;
     std::vector<std::string> m_addresses;
     std::vector<std::unique_ptr<failures::process>> m_agents;
-    io::timer_handle m_freeze_timer;
-    std::optional<std::size_t> m_frozen;
+    /// Agents that stand still, or are about to.
+    std::map<std::size_t, io::timer_handle> m_frozen;
+    io::timer_handle m_thaw_timer;
+    io::timer_handle m_limit_timer;
     bool m_has_seen_arm = false;
-    common::timestamp m_idle_since;
+    common::timestamp m_next_stream_at;
 };
 
 } // namespace
@@ -480,9 +501,11 @@
                                                              {"expertMb", expert_mb},
                                                              {"linkMbps", link_mbps}}}}})}}
                                .dump());
+    int frozen_agents = 0;
     std::list<group_with_agents> all;
     for (std::size_t i = 0; i < groups; ++i)
-        all.emplace_back(deployment, common::concat("g-", i), options.has_trouble);
+        all.emplace_back(deployment, common::concat("g-", i), options.has_trouble,
+                         i * stream_offset, frozen_agents);
     const auto have_leaders = [&]
     { return std::ranges::all_of(all, [](const auto& it) { return it.has_leader(); }); };
     if (!deployment.wait_until(have_leaders, start_limit))
--- a/review/programs-3/main.cpp
+++ b/review/programs-3/main.cpp
@@ -15,7 +15,7 @@
     const std::map<std::string, std::function<verdict(const case_options&)>> cases{
         {"repeat_after_late_extra_answer", repeat_after_late_extra_answer},
         {"late_order_after_takeover", late_order_after_takeover},
-        {"answer_read_slowly", answer_read_slowly},
+        {"stream_with_other_line_ends", stream_with_other_line_ends},
         {"answer_without_signature", answer_without_signature},
         {"head_on_stream", head_on_stream}};
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
