Log which connection carries an attempt

An attempt's log lines named its target and its outcome, but not the connection, so a refusal that belongs to this attempt could not be told from a late one that belongs to an earlier attempt of the same call on the same connection. `attempt_sent` now has `connection` and `reused`, `attempt_failed` has `connection`; the number is unique for the gateway.

--- a/source/core/io/client_connection.cpp
+++ b/source/core/io/client_connection.cpp
@@ -53,8 +53,8 @@
 
 } // namespace
 
-client_connection::client_connection(http_client& client)
-    : m_client{client}, m_reader{HTTP_RESPONSE, *this}
+client_connection::client_connection(http_client& client, connection_number number)
+    : m_client{client}, m_number{number}, m_reader{HTTP_RESPONSE, *this}
 {
 }
 
--- a/source/core/io/client_connection.hpp
+++ b/source/core/io/client_connection.hpp
@@ -15,7 +15,7 @@
                           public std::enable_shared_from_this<client_connection>
 {
 public:
-    explicit client_connection(http_client& client);
+    client_connection(http_client& client, connection_number number);
     ~client_connection() override;
 
     /// Starts to connect; returns false when that fails at once.
@@ -26,6 +26,7 @@
     void abandon();
     void pause_reading(bool on);
     bool is_connected() const { return m_connected; }
+    connection_number number() const { return m_number; }
     /// True when an idle connection can carry another call: it is open and has been idle for less
     /// than max_idle and the peer's keep-alive timeout.
     bool is_reusable(common::timestamp now, common::milliseconds max_idle) const;
@@ -45,6 +46,7 @@
     bool is_oversized() const;
 
     http_client& m_client;
+    connection_number m_number;
     bufferevent* m_bev = nullptr;
     http_reader m_reader;
     http_call* m_call = nullptr;
--- a/source/core/io/http_client.cpp
+++ b/source/core/io/http_client.cpp
@@ -35,6 +35,8 @@
                                                 [this] { end(call_outcome::not_connected); });
         return;
     }
+    m_connection_number = m_connection->number();
+    m_has_reused_connection = m_connection->is_connected();
     restart_silence_timer();
     if (m_options.total_timeout.count() != 0)
         m_total_timer =
@@ -144,8 +146,7 @@
             return connection;
         }
     }
-    auto connection = std::make_shared<client_connection>(*this);
-    ++m_connections_opened;
+    auto connection = std::make_shared<client_connection>(*this, ++m_connections_opened);
     return connection->connect(address) ? connection : nullptr;
 }
 
--- a/source/core/io/http_client.hpp
+++ b/source/core/io/http_client.hpp
@@ -35,6 +35,9 @@
 /// The name of an outcome, for logs.
 std::string_view name_of(call_outcome outcome);
 
+/// The number of a client's connection, unique for the client; 0 for none.
+using connection_number = std::uint64_t;
+
 /// Callbacks of an outgoing call. Any of them may be empty.
 struct call_events
 {
@@ -86,6 +89,10 @@
     void pause_reading(bool on);
     /// True once the connection is established, so that the peer may have received the request.
     bool may_have_been_sent() const;
+    /// The connection that carries or has carried the call; 0 if none could be opened.
+    connection_number connection() const { return m_connection_number; }
+    /// True when the connection had carried another call before.
+    bool has_reused_connection() const { return m_has_reused_connection; }
 
 private:
     friend class client_connection;
@@ -99,6 +106,8 @@
     call_events m_events;
     call_options m_options;
     std::shared_ptr<client_connection> m_connection;
+    connection_number m_connection_number = 0;
+    bool m_has_reused_connection = false;
     http_response m_response;
     /// The request on its way to the peer.
     memory_charge m_charge;
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -71,6 +71,10 @@
     timestamp head_at() const { return m_head_at; }
     /// True when the target may have received the request.
     bool may_have_reached_target() const { return m_call && m_call->may_have_been_sent(); }
+    /// The connection that carries or has carried the attempt; 0 if none could be opened.
+    io::connection_number connection() const { return m_connection; }
+    /// True when the connection had carried another call before.
+    bool has_reused_connection() const { return m_has_reused_connection; }
     void pause_reading(bool on);
     /// Another attempt counts for the call's slot from now on.
     void give_up_slot() { m_has_slot = false; }
@@ -115,6 +119,8 @@
     /// Counts m_body towards the memory budget.
     io::memory_charge m_charge;
     io::call_handle m_call;
+    io::connection_number m_connection = 0;
+    bool m_has_reused_connection = false;
     /// Expires with the attempt, since the listener may destroy the attempt in a callback.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -150,7 +150,11 @@
                          m_route->kind == fleet::call_kind::idempotent, time_left},
         request);
     common::log(common::log_level::debug, "attempt_sent",
-                {{"id", m_caller.id}, {"target", it.id}, {"attempt", m_attempts.sent()}});
+                {{"id", m_caller.id},
+                 {"target", it.id},
+                 {"attempt", m_attempts.sent()},
+                 {"connection", m_attempt->connection()},
+                 {"reused", m_attempt->has_reused_connection() ? 1 : 0}});
 }
 
 void exchange::release_attempt(attempt& it)
@@ -260,6 +264,7 @@
                                        {"fault", it.failed_member()},
                                        {"has_head", it.has_head() ? 1 : 0},
                                        {"events", m_event_count},
+                                       {"connection", it.connection()},
                                        {"parts", absl::StrJoin(m_caller.prompt_parts, ",")},
                                        {"ms", elapsed_ms(it.started(), common::now())}},
                                       common::now());
