Never carry two attempts of a call on one connection

Cause: a response is matched to an attempt by its connection and by X-Request-Id, which all attempts of a call share. After a refusal with At-Server the call may return to the target, and after an unreachable target it may return to any; the pool then gave the attempt the connection that had carried an earlier one. The target's repeat of the refusal was taken for the refusal of that attempt, which the target ran. Evidence: attempt_sent attempt=1 connection=4, attempt_failed refused_unrun, attempt_sent attempt=2 connection=4 reused=1, attempt_failed refused_unrun after 2 ms, attempt_sent attempt=3 connection=5, and two runs at the target.

Ruled out: two attempts at the same time (the second begins 254 ms after the end of the first) and a target that runs what it refuses (only attempts on a connection that had carried the call were affected).

Change: a call keeps the numbers of the connections that its attempts have used. The pool gives it the newest idle connection that is not among them, or opens one. This holds for repeats of any status and any lateness, and for every way back to a target. Connections go on to carry other calls, whose ids differ.

--- a/source/core/io/client_connection.cpp
+++ b/source/core/io/client_connection.cpp
@@ -134,12 +134,15 @@
         bufferevent_enable(m_bev, EV_READ);
 }
 
-bool client_connection::is_reusable(common::timestamp now, milliseconds max_idle) const
+bool client_connection::is_reusable(common::timestamp now) const
 {
-    if (m_connection_lost)
-        return false;
-    const auto limit = std::min(max_idle, m_idle_limit.value_or(default_idle_limit));
-    return now - m_idle_since < limit;
+    const auto it = idle_state(now);
+    return !m_connection_lost && it.idle_for < it.idle_limit;
+}
+
+idle_connection client_connection::idle_state(common::timestamp now) const
+{
+    return {m_number, now - m_idle_since, m_idle_limit.value_or(default_idle_limit)};
 }
 
 void client_connection::on_readable(bufferevent* /*bev*/, void* arg)
--- a/source/core/io/client_connection.hpp
+++ b/source/core/io/client_connection.hpp
@@ -28,8 +28,9 @@
     bool is_connected() const { return m_connected; }
     connection_number number() const { return m_number; }
     /// True when an idle connection can carry another call: it is open and has been idle for less
-    /// than max_idle and the peer's keep-alive timeout.
-    bool is_reusable(common::timestamp now, common::milliseconds max_idle) const;
+    /// than the peer's keep-alive timeout.
+    bool is_reusable(common::timestamp now) const;
+    idle_connection idle_state(common::timestamp now) const;
 
     bool on_begin() override { return true; }
     bool on_head() override;
--- a/source/core/io/http_client.cpp
+++ b/source/core/io/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 
 namespace kumquatgap::io
 {
@@ -26,7 +27,7 @@
 http_call::http_call(http_client& client, std::string address, const http_request& request,
                      call_events events, call_options options)
     : m_client{client}, m_address{std::move(address)}, m_events{std::move(events)},
-      m_options{options}, m_connection{client.acquire(m_address, options)},
+      m_options{std::move(options)}, m_connection{client.acquire(m_address, m_options)},
       m_charge{client.m_loop.memory(), charge_kind::forwarded, request.body.size()}
 {
     if (!m_connection)
@@ -126,25 +127,40 @@
                               call_options options)
 {
     return std::make_unique<http_call>(*this, std::move(address), request, std::move(events),
-                                       options);
+                                       std::move(options));
+}
+
+std::shared_ptr<client_connection> http_client::take_idle(const std::string& address,
+                                                          const call_options& options)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& idle = found->second;
+    const auto now = common::now();
+    std::erase_if(idle, [&](const auto& it) { return !it->is_reusable(now); });
+    const auto states =
+        std::views::transform(idle, [now](const auto& it) { return it->idle_state(now); });
+    const auto at = pick_idle(states, {options.max_idle, options.excluded_connections});
+    if (!at)
+    {
+        if (pick_idle(states, {options.max_idle, {}}))
+            ++m_opened_for_exclusion;
+        return nullptr;
+    }
+    const auto it = idle.begin() + static_cast<std::ptrdiff_t>(*at);
+    auto connection = std::move(*it);
+    idle.erase(it);
+    return connection;
 }
 
 std::shared_ptr<client_connection> http_client::acquire(const std::string& address,
                                                         const call_options& options)
 {
-    const auto now = common::now();
-    if (const auto it = m_idle.find(address); it != m_idle.end())
+    if (options.reuse_connection)
     {
-        auto& idle = it->second;
-        std::erase_if(idle, [&](const auto& c)
-                      { return !c->is_reusable(now, common::milliseconds::max()); });
-        if (options.reuse_connection && !idle.empty() &&
-            idle.back()->is_reusable(now, options.max_idle))
-        {
-            auto connection = std::move(idle.back());
-            idle.pop_back();
+        if (auto connection = take_idle(address, options))
             return connection;
-        }
     }
     auto connection = std::make_shared<client_connection>(*this, ++m_connections_opened);
     return connection->connect(address) ? connection : nullptr;
--- a/source/core/io/http_client.hpp
+++ b/source/core/io/http_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "io/connection_reuse.hpp"
 #include "io/event_loop.hpp"
 #include "io/http_message.hpp"
 
@@ -35,9 +36,6 @@
 /// The name of an outcome, for logs.
 std::string_view name_of(call_outcome outcome);
 
-/// The number of a client's connection, unique for the client; 0 for none.
-using connection_number = std::uint64_t;
-
 /// Callbacks of an outgoing call. Any of them may be empty.
 struct call_events
 {
@@ -65,6 +63,8 @@
     bool reuse_connection = true;
     /// An idle connection is reused only when it has been idle for less than this.
     common::milliseconds max_idle{60'000};
+    /// Connections that must not carry this call, since they have carried an earlier attempt of it.
+    std::vector<connection_number> excluded_connections = {};
     /// True when a response without Content-Length or chunks is complete once the peer closes the
     /// connection in an orderly way.
     bool accept_close_delimited = false;
@@ -134,6 +134,8 @@
                                    call_events events, call_options options = {});
     /// Connections opened since the start.
     std::uint64_t connections_opened() const { return m_connections_opened; }
+    /// Those of them that were opened because the idle ones were excluded.
+    std::uint64_t connections_opened_for_exclusion() const { return m_opened_for_exclusion; }
 
 private:
     friend class http_call;
@@ -142,12 +144,15 @@
 
     std::shared_ptr<client_connection> acquire(const std::string& address,
                                                const call_options& options);
+    std::shared_ptr<client_connection> take_idle(const std::string& address,
+                                                 const call_options& options);
     void keep_idle(const std::string& address, std::shared_ptr<client_connection> connection);
     void remove_idle(const client_connection* connection);
 
     event_loop& m_loop;
     std::map<std::string, connection_list> m_idle;
     std::uint64_t m_connections_opened = 0;
+    std::uint64_t m_opened_for_exclusion = 0;
 };
 
 } // namespace kumquatgap::io
--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -48,6 +48,7 @@
         m_options.target.address, request, std::move(events),
         {.connect_timeout = connect_timeout,
          .max_idle = m_options.is_idempotent ? max_idle : max_idle_for_non_idempotent,
+         .excluded_connections = m_options.used_connections,
          .accept_close_delimited = true});
     m_connection = m_call->connection();
     m_has_reused_connection = m_call->has_reused_connection();
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace kumquatgap::gateway
 {
@@ -51,6 +52,8 @@
         /// about to close.
         bool is_idempotent = false;
         milliseconds time_left{0};
+        /// Connections that have carried an earlier attempt of the call, and don't carry this one.
+        std::vector<io::connection_number> used_connections = {};
     };
 
     attempt(gateway& owner, attempt_listener& listener, options how,
--- a/source/gateway/exchange.cpp
+++ b/source/gateway/exchange.cpp
@@ -147,8 +147,10 @@
     m_attempt = std::make_unique<attempt>(
         m_gateway, *this,
         attempt::options{it, m_caller.id, m_number, fleet::is_stream(m_route->kind),
-                         m_route->kind == fleet::call_kind::idempotent, time_left},
+                         m_route->kind == fleet::call_kind::idempotent, time_left,
+                         m_used_connections},
         request);
+    m_used_connections.push_back(m_attempt->connection());
     common::log(common::log_level::debug, "attempt_sent",
                 {{"id", m_caller.id},
                  {"target", it.id},
--- a/source/gateway/exchange.hpp
+++ b/source/gateway/exchange.hpp
@@ -167,6 +167,8 @@
     fleet::attempt_history m_attempts{fleet::call_kind::once, 1};
     std::set<std::string> m_tried;
     std::unique_ptr<attempt> m_attempt;
+    /// The connections of all attempts so far.
+    std::vector<io::connection_number> m_used_connections;
     /// An attempt that the call leaves once the current one answers.
     struct former_attempt
     {
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -204,6 +204,8 @@
     m_metrics.set("kqg_open_calls", static_cast<std::int64_t>(m_exchanges.size()));
     m_metrics.set("kqg_target_connections",
                   static_cast<std::int64_t>(m_client.connections_opened()));
+    m_metrics.set("kqg_target_connections_for_repeats",
+                  static_cast<std::int64_t>(m_client.connections_opened_for_exclusion()));
     m_store.counts().write_metrics(m_metrics);
     m_loop.memory().write_metrics(m_metrics);
     m_follower.write_metrics(m_metrics, now);
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -17,11 +17,9 @@
 constexpr std::size_t answer_bytes = 3000;
 /// The event in which a broken stream ends.
 constexpr int cut_event = 5;
-
-std::string unrun(const io::http_request& request, int status)
-{
-    return whole_answer(request, status, "", "X-Not-Executed: 1\r\n");
-}
+/// What a target that repeats refuses of its requests, and repeats of its responses.
+constexpr double refused_share = 0.25;
+constexpr double repeated_share = 0.5;
 
 } // namespace
 
@@ -64,14 +62,45 @@
     put_entry();
 }
 
+void soak_target::start_repeating(std::uint64_t seed)
+{
+    m_is_repeating = true;
+    m_random.seed(seed);
+}
+
+bool soak_target::draws(double share)
+{
+    return m_is_repeating && std::uniform_real_distribution<>{0, 1}(m_random) < share;
+}
+
+void soak_target::refuse(const io::http_request& request, const reply& out, int status)
+{
+    const auto name = m_is_repeating ? common::concat("At-Server: ", m_id, "\r\n") : std::string{};
+    write_whole(out,
+                whole_answer(request, status, "", common::concat("X-Not-Executed: 1\r\n", name)));
+}
+
+void soak_target::write_whole(const reply& out, const std::string& response)
+{
+    out.write(response);
+    plan_repeat(out, response);
+}
+
+void soak_target::plan_repeat(const reply& out, const std::string& response)
+{
+    if (draws(repeated_share))
+        m_late_repeats.plan(out, response);
+}
+
 void soak_target::take(const io::http_request& request, const reply& out)
 {
+    m_late_repeats.send_due(out);
     const std::string id{request.headers.find("x-request-id")};
     m_repeats[m_service].record_arrival(id, common::now());
     if (request.headers.find("x-expect-instance") != m_id)
-        return out.write(unrun(request, 421));
-    if (m_mood == target_mood::refuses)
-        return out.write(unrun(request, 503));
+        return refuse(request, out, 421);
+    if (m_mood == target_mood::refuses || draws(refused_share))
+        return refuse(request, out, 503);
     ++m_runs[id];
     if (m_mood == target_mood::is_slow)
     {
@@ -91,7 +120,7 @@
     case target_mood::resets:
         return out.reset();
     case target_mood::fails:
-        return out.write(whole_answer(request, 500, own));
+        return write_whole(out, whole_answer(request, 500, own));
     case target_mood::mixes_up:
     {
         auto other = request;
@@ -104,8 +133,10 @@
     if (m_service == "engine")
         return stream(request, out);
     const auto whole = whole_answer(request, 200, own);
+    if (m_mood == target_mood::sends_surplus)
+        return out.write(whole + whole);
     if (m_mood != target_mood::cuts)
-        return out.write(m_mood == target_mood::sends_surplus ? whole + whole : whole);
+        return write_whole(out, whole);
     out.write(whole.substr(0, whole.size() - own.size() / 2));
     out.reset();
 }
@@ -117,22 +148,29 @@
     if (!text.empty())
         common::parse_number(text, first);
     out.write(platform_tests::stream_head(request));
-    send_event(out, first + 1);
+    send_event(request, out, first + 1, first + 1);
 }
 
-void soak_target::send_event(const reply& out, int n)
+void soak_target::send_event(const io::http_request& request, const reply& out, int first, int n)
 {
     if (!out.is_open())
         return;
     if (n > last_event)
-        return out.write(io::last_chunk);
+    {
+        out.write(io::last_chunk);
+        return plan_repeat(
+            out, common::concat(platform_tests::stream_head(request),
+                                io::to_chunk(platform_tests::events_text(first, last_event)),
+                                io::last_chunk));
+    }
     if (n == cut_event && m_mood == target_mood::cuts)
     {
         out.write("10\r\nid: 5\ndata: pie");
         return out.reset();
     }
     out.write(platform_tests::stream_event(n));
-    m_timers.push_back(m_site.loop().after(event_gap, [this, out, n] { send_event(out, n + 1); }));
+    m_timers.push_back(m_site.loop().after(event_gap, [this, request, out, first, n]
+                                           { send_event(request, out, first, n + 1); }));
 }
 
 } // namespace kumquatgap::soak
--- a/tests/soak/soak_target.hpp
+++ b/tests/soak/soak_target.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway_deployment.hpp"
+#include "late_repeats.hpp"
 #include "relay.hpp"
 #include "repeat_count.hpp"
 
@@ -51,6 +52,10 @@
 
     failures::relay& path() { return *m_relay; }
     void set_mood(target_mood mood) { m_mood = mood; }
+    /// Refuses some requests in any mood, and sends some of its whole responses, refusals too,
+    /// again, late. Its refusals name it, so that a refused call may return to it.
+    void start_repeating(std::uint64_t seed);
+    void stop_repeating() { m_is_repeating = false; }
     /// Starts again under another id at the same address.
     void start_anew();
     void remove_entry();
@@ -61,7 +66,11 @@
     void take(const io::http_request& request, const reply& out);
     void answer(const io::http_request& request, const reply& out);
     void stream(const io::http_request& request, const reply& out);
-    void send_event(const reply& out, int n);
+    void send_event(const io::http_request& request, const reply& out, int first, int n);
+    void refuse(const io::http_request& request, const reply& out, int status);
+    void write_whole(const reply& out, const std::string& response);
+    void plan_repeat(const reply& out, const std::string& response);
+    bool draws(double share);
 
     platform_tests::gateway_deployment& m_site;
     run_counts& m_runs;
@@ -70,6 +79,9 @@
     std::string m_service;
     int m_starts = 0;
     target_mood m_mood = target_mood::answers;
+    stand_ins::late_repeats m_late_repeats;
+    bool m_is_repeating = false;
+    std::mt19937_64 m_random;
     std::unique_ptr<failures::relay> m_relay;
     std::vector<io::timer_handle> m_timers;
 };
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -241,6 +241,16 @@
         common::now() + milliseconds{random() % static_cast<std::uint64_t>(m_length.count() / 2)};
 }
 
+/// Draws from a generator of its own, as above.
+void soak_world::plan_repeats()
+{
+    std::mt19937_64 random{m_seed ^ 0x7e9a};
+    if (random() % 2 == 0)
+        return;
+    for (const auto& it : m_targets)
+        it->start_repeating(random());
+}
+
 void soak_world::begin_storm_when_due()
 {
     if (common::now() < m_storm_at)
@@ -395,6 +405,7 @@
         m_site.wait_ready(i);
     plan_restore();
     plan_storm();
+    plan_repeats();
     const auto end = common::now() + m_length;
     while (common::now() < end)
     {
@@ -409,6 +420,7 @@
             begin_fault();
     }
     end_faults(true);
+    std::ranges::for_each(m_targets, [](const auto& it) { it->stop_repeating(); });
     const auto limit = common::now() + longest_call;
     const auto is_open = [](const call& it) { return !it.open->result.ended; };
     while (common::now() < limit && std::ranges::any_of(m_calls, is_open))
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -58,6 +58,7 @@
     void plan_restore();
     void restore_store_when_due();
     void plan_storm();
+    void plan_repeats();
     void begin_storm_when_due();
     void state_change();
     void gateway_fault();
