Match a rank's responses to requests by ids of their own

What was seen: no caller reported this. A rank that sends its response to an order again, late, made its agent take the next order, which the rank refused with 409, for accepted; an accepted order settles a rank. A repeated report was read as the next one.

Cause: orders, reports and counts carried no id and share pooled connections, so only the order of the bytes tied a response to a request. It is the class of the repeated refusals at the gateway, with no id in place of a shared one.

Change: rank_client sends all requests to a rank, from its own agent and from the controller, with an id of their own each (a random number of the sender and a count), and skips responses with another id. Whether an id fits is one function, io/response_match, which the gateway uses as well. A response without an id is taken as before.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/attempt.hpp"
 
 #include "common/text.hpp"
+#include "io/response_match.hpp"
 
 namespace kumquatgap::gateway
 {
@@ -42,7 +43,7 @@
              &adapter = m_gateway.adapter()](const io::http_response& head)
         {
             const auto it = adapter.read_response(head);
-            return it.request_id.empty() || it.request_id == id;
+            return io::may_answer(it.request_id, id);
         }};
     m_call = m_gateway.client().send(
         m_options.target.address, request, std::move(events),
--- a/source/rank_agent/order_sender.cpp
+++ b/source/rank_agent/order_sender.cpp
@@ -11,21 +11,21 @@
 {
     common::log(common::log_level::info, m_event,
                 {{"order", experts::name_of(order.kind)},
-                 {"target", m_target},
+                 {"target", m_client.target()},
                  {"version", order.version},
                  {"pass", order.pass},
                  {"epoch", order.epoch},
                  {"fence", order.fence},
                  {"timeout_ms", timeout.count()}});
-    m_call = m_client.send(
-        m_target, m_adapter.order_request(order),
-        {.on_end = [this, kind = order.kind, done = std::move(done), sent_at = common::now()](
-                       io::call_outcome how, const io::http_response& response)
-         { on_call_end(kind, how, response, sent_at, done); }},
-        {.connect_timeout = timeout,
-         .silence_timeout = timeout,
-         .total_timeout = timeout,
-         .max_collected_bytes = max_rank_response_bytes});
+    m_call =
+        m_client.send(m_adapter.order_request(order),
+                      [this, kind = order.kind, done = std::move(done), sent_at = common::now()](
+                          io::call_outcome how, const io::http_response& response)
+                      { on_call_end(kind, how, response, sent_at, done); },
+                      {.connect_timeout = timeout,
+                       .silence_timeout = timeout,
+                       .total_timeout = timeout,
+                       .max_collected_bytes = max_rank_response_bytes});
 }
 
 void order_sender::on_call_end(experts::order_kind kind, io::call_outcome how,
@@ -44,7 +44,7 @@
     if (end != experts::order_outcome::accepted)
         common::log(common::log_level::info, "order_not_accepted",
                     {{"order", experts::name_of(kind)},
-                     {"target", m_target},
+                     {"target", m_client.target()},
                      {"status", response.status},
                      {"end", static_cast<int>(end)}});
     callback(end, is_answered ? std::optional{common::now() - sent_at} : std::nullopt);
--- a/source/rank_agent/order_sender.hpp
+++ b/source/rank_agent/order_sender.hpp
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "experts/rank_driver.hpp"
-#include "io/http_client.hpp"
+#include "rank_agent/rank_client.hpp"
 #include "rank_agent/rank_protocol_adapter.hpp"
 
 #include <functional>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace kumquatgap::rank_agent
@@ -24,9 +23,8 @@
         std::function<void(experts::order_outcome end, std::optional<milliseconds> response_time)>;
 
     /// `event` is the name of the log event for sent orders.
-    order_sender(io::http_client& client, const rank_protocol_adapter& adapter, std::string target,
-                 std::string_view event)
-        : m_client{client}, m_adapter{adapter}, m_target{std::move(target)}, m_event{event}
+    order_sender(rank_client& client, const rank_protocol_adapter& adapter, std::string_view event)
+        : m_client{client}, m_adapter{adapter}, m_event{event}
     {
     }
 
@@ -39,9 +37,8 @@
     void on_call_end(experts::order_kind kind, io::call_outcome how,
                      const io::http_response& response, timestamp sent_at, const handler& done);
 
-    io::http_client& m_client;
+    rank_client& m_client;
     const rank_protocol_adapter& m_adapter;
-    std::string m_target;
     std::string_view m_event;
     io::call_handle m_call;
 };
--- a/source/rank_agent/rank_agent.cpp
+++ b/source/rank_agent/rank_agent.cpp
@@ -62,7 +62,7 @@
                        const rank_protocol_adapter& adapter, rank_agent_settings settings)
     : m_loop{loop}, m_client{client}, m_adapter{adapter}, m_settings{std::move(settings)},
       m_driver{random_instance_id(), common::now(), m_settings.checks_fences},
-      m_orders{client, adapter, m_settings.target, "order_sent"},
+      m_rank{client, adapter, m_settings.target}, m_orders{m_rank, adapter, "order_sent"},
       m_slowdown_publisher{store, m_settings.target}, m_store{store},
       m_messenger{loop, m_settings.common.control_address, m_settings.common.deployment_token,
                   link(),
@@ -229,16 +229,15 @@
     // Replaces a pending request: a report requested before the latest directive or order might be
     // older than it.
     m_report_requested_at = common::now();
-    m_report_call =
-        m_client.send(m_settings.target, m_adapter.report_request(),
-                      {.on_end =
-                           [this](io::call_outcome how, const io::http_response& response)
-                       {
-                           const auto call = std::move(m_report_call);
-                           if (how == io::call_outcome::complete)
-                               on_report(m_adapter.read_report(response));
-                       }},
-                      rank_call_options(rank_timeout));
+    m_report_call = m_rank.send(
+        m_adapter.report_request(),
+        [this](io::call_outcome how, const io::http_response& response)
+        {
+            const auto call = std::move(m_report_call);
+            if (how == io::call_outcome::complete)
+                on_report(m_adapter.read_report(response));
+        },
+        rank_call_options(rank_timeout));
 }
 
 void rank_agent::on_report(const std::optional<experts::rank_report>& r)
@@ -303,42 +302,40 @@
 {
     if (m_local_experts_call)
         return;
-    m_local_experts_call = m_client.send(
-        m_settings.target, m_adapter.rank_experts_request(),
-        {.on_end =
-             [this](io::call_outcome how, const io::http_response& response)
-         {
-             const auto call = std::move(m_local_experts_call);
-             if (how != io::call_outcome::complete || !m_driver.has_report())
-                 return;
-             if (auto local_experts = m_adapter.read_rank_experts(response))
-             {
-                 m_local_experts = std::move(*local_experts);
-                 m_local_experts_epoch = m_driver.report().epoch;
-                 cache_initial_map();
-                 if (m_map_cache.known_version(m_local_experts_epoch, m_local_experts.version) ==
-                     experts::map_cache::unknown)
-                     send_local_experts();
-             }
-         }},
+    m_local_experts_call = m_rank.send(
+        m_adapter.rank_experts_request(),
+        [this](io::call_outcome how, const io::http_response& response)
+        {
+            const auto call = std::move(m_local_experts_call);
+            if (how != io::call_outcome::complete || !m_driver.has_report())
+                return;
+            if (auto local_experts = m_adapter.read_rank_experts(response))
+            {
+                m_local_experts = std::move(*local_experts);
+                m_local_experts_epoch = m_driver.report().epoch;
+                cache_initial_map();
+                if (m_map_cache.known_version(m_local_experts_epoch, m_local_experts.version) ==
+                    experts::map_cache::unknown)
+                    send_local_experts();
+            }
+        },
         rank_call_options(rank_timeout));
 }
 
 void rank_agent::request_selection_totals()
 {
     m_totals_requested_at = common::now();
-    m_totals_call =
-        m_client.send(m_settings.target, m_adapter.selection_totals_request(),
-                      {.on_end =
-                           [this](io::call_outcome how, const io::http_response& response)
-                       {
-                           const auto call = std::move(m_totals_call);
-                           if (how != io::call_outcome::complete)
-                               return;
-                           if (const auto counts = m_adapter.read_selection_totals(response))
-                               on_selection_totals(*counts);
-                       }},
-                      rank_call_options(rank_timeout));
+    m_totals_call = m_rank.send(
+        m_adapter.selection_totals_request(),
+        [this](io::call_outcome how, const io::http_response& response)
+        {
+            const auto call = std::move(m_totals_call);
+            if (how != io::call_outcome::complete)
+                return;
+            if (const auto counts = m_adapter.read_selection_totals(response))
+                on_selection_totals(*counts);
+        },
+        rank_call_options(rank_timeout));
 }
 
 void rank_agent::cache_initial_map()
--- a/source/rank_agent/rank_agent.hpp
+++ b/source/rank_agent/rank_agent.hpp
@@ -13,6 +13,7 @@
 #include "rank_agent/leadership.hpp"
 #include "rank_agent/messenger.hpp"
 #include "rank_agent/order_sender.hpp"
+#include "rank_agent/rank_client.hpp"
 #include "rank_agent/rank_protocol_adapter.hpp"
 #include "rank_agent/remote_rank_driver.hpp"
 #include "rank_agent/selection_reporter.hpp"
@@ -93,6 +94,7 @@
     const rank_protocol_adapter& m_adapter;
     rank_agent_settings m_settings;
     experts::rank_driver m_driver;
+    rank_client m_rank;
     order_sender m_orders;
     experts::order_timer m_order_timer;
     /// Group of the rank; empty before its first report.
--- a/source/rank_agent/rank_protocol_adapter.hpp
+++ b/source/rank_agent/rank_protocol_adapter.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kumquatgap::rank_agent
@@ -42,6 +43,10 @@
     rank_protocol_adapter& operator=(const rank_protocol_adapter&) = delete;
     virtual ~rank_protocol_adapter() = default;
 
+    /// Adds the id that the rank echoes in its response.
+    virtual void set_request_id(io::http_request& it, std::string_view id) const = 0;
+    /// The id of the request that a response answers; empty if the rank echoes none.
+    virtual std::string read_request_id(const io::http_response& it) const = 0;
     virtual io::http_request report_request() const = 0;
     /// Returns nullopt if the response is not a valid report.
     virtual std::optional<experts::rank_report> read_report(const io::http_response& it) const = 0;
--- a/source/rank_agent/remote_rank_driver.cpp
+++ b/source/rank_agent/remote_rank_driver.cpp
@@ -26,8 +26,8 @@
 remote_rank_driver::remote_rank_driver(io::http_client& client,
                                        const rank_protocol_adapter& adapter, std::string target,
                                        status_handler fn)
-    : m_client{client}, m_adapter{adapter}, m_target{std::move(target)}, m_handler{std::move(fn)},
-      m_driver{random_instance_id(), common::now()}, m_orders{client, adapter, m_target,
+    : m_client{client, adapter, std::move(target)}, m_adapter{adapter}, m_handler{std::move(fn)},
+      m_driver{random_instance_id(), common::now()}, m_orders{m_client, adapter,
                                                               "order_sent_from_afar"}
 {
     m_driver.share_rank();
@@ -46,24 +46,22 @@
 void remote_rank_driver::request_report(timestamp now)
 {
     m_report_requested_at = now;
-    m_report_call =
-        m_client.send(m_target, m_adapter.report_request(),
-                      {.on_end =
-                           [this](io::call_outcome end, const io::http_response& response)
-                       {
-                           const auto call = std::move(m_report_call);
-                           const auto report = end == io::call_outcome::complete
-                                                   ? m_adapter.read_report(response)
-                                                   : std::nullopt;
-                           if (!report)
-                               return common::log(common::log_level::warn, "report_lost",
-                                                  {{"target", m_target},
-                                                   {"end", static_cast<int>(end)},
-                                                   {"status", response.status}});
-                           m_driver.handle(*report);
-                           m_handler(m_driver.status(common::now()));
-                       }},
-                      rank_call_options());
+    m_report_call = m_client.send(
+        m_adapter.report_request(),
+        [this](io::call_outcome end, const io::http_response& response)
+        {
+            const auto call = std::move(m_report_call);
+            const auto report =
+                end == io::call_outcome::complete ? m_adapter.read_report(response) : std::nullopt;
+            if (!report)
+                return common::log(common::log_level::warn, "report_lost",
+                                   {{"target", m_client.target()},
+                                    {"end", static_cast<int>(end)},
+                                    {"status", response.status}});
+            m_driver.handle(*report);
+            m_handler(m_driver.status(common::now()));
+        },
+        rank_call_options());
 }
 
 void remote_rank_driver::send(const experts::rank_order& order)
--- a/source/rank_agent/remote_rank_driver.hpp
+++ b/source/rank_agent/remote_rank_driver.hpp
@@ -4,6 +4,7 @@
 #include "io/event_loop.hpp"
 #include "io/http_client.hpp"
 #include "rank_agent/order_sender.hpp"
+#include "rank_agent/rank_client.hpp"
 #include "rank_agent/rank_protocol_adapter.hpp"
 
 #include <functional>
@@ -37,9 +38,8 @@
     void request_report(timestamp now);
     void send(const experts::rank_order& order);
 
-    io::http_client& m_client;
+    rank_client m_client;
     const rank_protocol_adapter& m_adapter;
-    std::string m_target;
     status_handler m_handler;
     experts::rank_driver m_driver;
     order_sender m_orders;
