--- a/source/core/io/connection_reuse.hpp
+++ b/source/core/io/connection_reuse.hpp
@@ -2,11 +2,9 @@
 
 #include "common/clock.hpp"
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <ranges>
 #include <vector>
 
 namespace kumquatgap::io
@@ -41,15 +39,7 @@
 
 /// The index of the connection that carries the call: of those that can, the last one in the list,
 /// which is in the order in which they became idle. None when a new connection is needed.
-template <std::ranges::random_access_range R>
-std::optional<std::size_t> pick_idle(R&& idle, const reuse_conditions& conditions)
-{
-    const auto from_newest = std::views::reverse(idle);
-    const auto it = std::ranges::find_if(from_newest, [&](const idle_connection& c)
-                                         { return can_carry(c, conditions); });
-    if (it == std::ranges::end(from_newest))
-        return std::nullopt;
-    return static_cast<std::size_t>(std::ranges::distance(it, std::ranges::end(from_newest))) - 1;
-}
+std::optional<std::size_t> pick_idle(const std::vector<idle_connection>& idle,
+                                     const reuse_conditions& conditions);
 
 } // namespace kumquatgap::io
--- a/source/core/io/http_client.cpp
+++ b/source/core/io/http_client.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 
 namespace kumquatgap::io
 {
@@ -139,8 +138,10 @@
     auto& idle = found->second;
     const auto now = common::now();
     std::erase_if(idle, [&](const auto& it) { return !it->is_reusable(now); });
-    const auto states =
-        std::views::transform(idle, [now](const auto& it) { return it->idle_state(now); });
+    std::vector<idle_connection> states;
+    states.reserve(idle.size());
+    for (const auto& it : idle)
+        states.push_back(it->idle_state(now));
     const auto at = pick_idle(states, {options.max_idle, options.excluded_connections});
     if (!at)
     {
--- a/source/unit_tests/io/connection_reuse_test.cpp
+++ b/source/unit_tests/io/connection_reuse_test.cpp
@@ -3,8 +3,8 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
-#include <array>
 #include <random>
+#include <vector>
 
 using namespace kumquatgap;
 using common::milliseconds;
@@ -50,13 +50,13 @@
 
 Test(connection_reuse, newest_idle_connection_that_has_not_carried_the_call_is_taken)
 {
-    const std::array list{idle(4, 300), idle(2, 200), idle(9, 100)};
+    const std::vector list{idle(4, 300), idle(2, 200), idle(9, 100)};
     cr_assert_eq(pick_idle(list, {limit, {}}).value(), 2);
     cr_assert_eq(pick_idle(list, {limit, {9}}).value(), 1);
     cr_assert_eq(pick_idle(list, {limit, {2, 9}}).value(), 0);
     cr_assert(!pick_idle(list, {limit, {2, 4, 9}}));
     cr_assert(!pick_idle(list, {milliseconds{250}, {2, 9}}));
-    cr_assert(!pick_idle(std::array<idle_connection, 0>{}, {limit, {}}));
+    cr_assert(!pick_idle({}, {limit, {}}));
 }
 
 /// Calls with several attempts over few connections, in drawn order: no connection carries a call
--- a/tests/platform/gateway_late_repeats_test.cpp
+++ b/tests/platform/gateway_late_repeats_test.cpp
@@ -96,6 +96,7 @@
 void open_connections(gateway_deployment& deployment, const std::string& path, int connections)
 {
     std::vector<std::shared_ptr<open_call>> calls;
+    calls.reserve(static_cast<std::size_t>(connections));
     for (int i = 0; i < connections; ++i)
         calls.push_back(deployment.begin(deployment.request(path, common::concat("first", i))));
     for (const auto& it : calls)
@@ -229,8 +230,9 @@
     int served = 0;
     for (const auto& [id, it] : open)
     {
-        cr_assert(deployment.wait_until([&] { return it->result.ended; }));
-        const auto status = it->result.answer.status;
+        const auto& result = it->result;
+        cr_assert(deployment.wait_until([&result] { return result.ended; }));
+        const auto status = result.answer.status;
         const bool says_unrun = status == 503 || status == 429;
         cr_assert_leq(runs[id], 1, "%s: %d runs", id.c_str(), runs[id]);
         cr_assert(!says_unrun || runs[id] == 0, "%s: %d, but it has run", id.c_str(), status);
