--- a/tests/platform/gateway_deployment.cpp
+++ b/tests/platform/gateway_deployment.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
 namespace kumquatgap::platform_tests
 {
@@ -218,7 +219,7 @@
              raw->result = {true, end, answer};
              raw->result.answer.body = raw->so_far;
          }},
-        how);
+        std::move(how));
     return out;
 }
 
